--- /dev/null
+++ b/packages/cloud/src/index.ts
@@ -0,0 +1,99 @@
+import type { Caller, ListedMachine, MachineType } from '@heathroad/wire'
+import { isMap, readCatalog, readHosts, readMachineList } from '@heathroad/wire'
+import { Effect } from 'effect'
+
+export interface RentalRequest {
+	name: string
+	type: string
+	zone: string
+	spot: boolean
+	count: number
+}
+
+export type RentResult =
+	| { kind: 'rented'; machines: string[] }
+	| { kind: 'none' }
+	/** not carried out for certain, or unknown: the same name has to be asked again */
+	| { kind: 'again' }
+	| { kind: 'invalid' }
+
+/** The cloud's interface, within this controller's slice of its call rate. */
+export class Cloud {
+	private tokens: number
+	private filled: number
+
+	constructor(
+		private readonly caller: Caller,
+		private readonly address: string,
+		private readonly perS: number,
+		private readonly timeoutMs: number,
+		private readonly now: () => number,
+	) {
+		this.tokens = perS * 2
+		this.filled = now()
+	}
+
+	/** Waits for its turn within the slice; bursts are worth two seconds. */
+	private turn(): Effect.Effect<void> {
+		return Effect.suspend(() => {
+			const now = this.now()
+			this.tokens = Math.min(this.perS * 2, this.tokens + ((now - this.filled) / 1000) * this.perS)
+			this.filled = now
+			this.tokens -= 1
+			return this.tokens >= 0 ? Effect.void : Effect.sleep((-this.tokens / this.perS) * 1000)
+		})
+	}
+
+	/** Calls already waiting for their turn; more are not started. */
+	busy(): boolean {
+		return this.tokens < -1
+	}
+
+	private call(method: string, path: string, body: unknown) {
+		return this.turn().pipe(
+			Effect.andThen(this.caller.call(this.address, method, path, body, this.timeoutMs)),
+			Effect.option,
+			Effect.map((o) => (o._tag === 'Some' ? o.value : null)),
+		)
+	}
+
+	catalog(): Effect.Effect<MachineType[] | null> {
+		return this.call('GET', '/catalog', undefined).pipe(
+			Effect.map((a) => (a !== null && a.status === 200 ? readCatalog(a.body) : null)),
+		)
+	}
+
+	rent(r: RentalRequest): Effect.Effect<RentResult> {
+		const body = {
+			rental: r.name,
+			flavour: r.type,
+			site: r.zone,
+			reclaimable: r.spot,
+			howMany: r.count,
+		}
+		return this.call('POST', '/hosts', body).pipe(
+			Effect.map((a): RentResult => {
+				if (a === null) return { kind: 'again' }
+				if (a.status === 200) {
+					const machines = readHosts(a.body)
+					return machines === null ? { kind: 'again' } : { kind: 'rented', machines }
+				}
+				if (a.status === 503 && isMap(a.body) && a.body.error === 'no capacity') return { kind: 'none' }
+				return a.status === 400 ? { kind: 'invalid' } : { kind: 'again' }
+			}),
+		)
+	}
+
+	/** True when the cloud confirmed that the machines and all on them are gone. */
+	release(ids: readonly string[]): Effect.Effect<boolean> {
+		return this.call('POST', '/hosts/release', { hosts: ids }).pipe(
+			Effect.map((a) => a !== null && a.status === 200),
+		)
+	}
+
+	list(from: string): Effect.Effect<{ machines: ListedMachine[]; more: boolean } | null> {
+		return this.call('GET', `/hosts?from=${from}&page=500`, undefined).pipe(
+			Effect.map((a) => (a !== null && a.status === 200 ? readMachineList(a.body) : null)),
+		)
+	}
+}
--- /dev/null
+++ b/packages/cluster/src/index.ts
@@ -0,0 +1,2 @@
+export * from './membership.js'
+export * from './records.js'
--- /dev/null
+++ b/packages/cluster/src/membership.ts
@@ -0,0 +1,371 @@
+import type { Derived } from '@heathroad/config'
+import type { Mirror, StoreClient } from '@heathroad/store'
+import { ROOT } from '@heathroad/store'
+import { type Caller, isMap } from '@heathroad/wire'
+import { Effect } from 'effect'
+import { asPart, lastOwnerKey, partKey } from './records.js'
+
+/** What an owner may do at this moment. */
+export type Right = 'grant' | 'promise' | 'none'
+
+export interface PeerNews {
+	name: string
+	life: string
+	grant: number | null
+	upMs: number
+	ready: boolean
+	/** tasks running, by job, of the parts it owns */
+	running: Record<string, number>
+}
+
+interface Peer {
+	name: string
+	address: string
+	heard: number
+	news: PeerNews | null
+	/** until when it has promised not to adopt our parts */
+	promised: number
+}
+
+export interface Owned {
+	part: number
+	token: number
+	since: number
+}
+
+export interface MembershipEvents {
+	took(part: number, token: number): void
+	lost(part: number, why: string): void
+	/** news for the peers */
+	news(): { running: Record<string, number>; ready: boolean }
+	/** jobs of these parts that were cancelled within the last `cancel_s`, for a peer cut off from the state */
+	cancelled(parts: number[]): string[]
+	applyCancelled(uids: string[]): void
+	log(level: 'info' | 'debug' | 'error', event: string, fields?: Record<string, unknown>): void
+}
+
+/**
+ * Who owns which part. Ownership is a key attached to our grant; the right to act on it lasts from when the
+ * last successful extend was sent, for the grant's time less a margin, on the steady clock.
+ */
+export class Membership {
+	readonly owned = new Map<number, Owned>()
+	readonly peers: Peer[]
+	readonly life: string
+	grant: number | null = null
+	private rightUntil = 0
+	private readonly started: number
+	private lastStateOk = 0
+	/** promises we gave: member -> until when we adopt none of its parts and confirm no cancellation in them */
+	private readonly given = new Map<string, number>()
+	private readonly absentSince = new Map<number, number>()
+	private taking = new Set<number>()
+
+	constructor(
+		private readonly d: Derived,
+		private readonly mirror: Mirror,
+		private readonly client: StoreClient,
+		private readonly caller: Caller,
+		private readonly now: () => number,
+		private readonly events: MembershipEvents,
+	) {
+		this.peers = d.peers.map((p) => ({ ...p, heard: Number.NEGATIVE_INFINITY, news: null, promised: 0 }))
+		this.started = now()
+		this.life = `${d.self}:${Date.now().toString(36)}${Math.floor(Math.random() * 1e9).toString(36)}`
+	}
+
+	stateHeard(ok: boolean): void {
+		if (ok) this.lastStateOk = this.now()
+	}
+
+	right(now = this.now()): Right {
+		if (now < this.rightUntil) return 'grant'
+		if (this.grant !== null && this.peers.every((p) => now < p.promised)) return 'promise'
+		return 'none'
+	}
+
+	/** The owner of a part as far as is known, and whether it was heard of lately. */
+	ownerOf(part: number): { name: string; alive: boolean } | null {
+		const record = asPart(this.mirror.get(partKey(part))?.data)
+		if (record === null) return null
+		if (record.owner === this.d.self) return { name: record.owner, alive: this.owned.has(part) }
+		return { name: record.owner, alive: this.alive(record.owner) }
+	}
+
+	alive(name: string): boolean {
+		const peer = this.peers.find((p) => p.name === name)
+		return peer !== undefined && this.now() - peer.heard < this.aliveMs()
+	}
+
+	private aliveMs(): number {
+		return this.d.grantMs * 0.6
+	}
+
+	/** A cancellation in a part whose cut-off owner has our promise must wait until that promise is over. */
+	mayConfirmCancel(part: number): boolean {
+		const owner = asPart(this.mirror.get(partKey(part))?.data)?.owner
+		return owner === undefined || owner === this.d.self || !this.promisedTo(owner)
+	}
+
+	private promisedTo(member: string): boolean {
+		return this.now() < (this.given.get(member) ?? 0)
+	}
+
+	/** Keeps the grant alive. */
+	keepGrant(): Effect.Effect<never> {
+		const lifeMs = this.d.grantMs
+		const step = Effect.suspend(() => {
+			const sent = this.now()
+			const until = sent + lifeMs * 0.999 - this.d.marginMs
+			if (this.grant === null)
+				return this.client.grant(lifeMs).pipe(
+					Effect.map((g) => {
+						this.grant = g
+						this.rightUntil = until
+						this.takeWhatIsFree()
+					}),
+				)
+			const grant = this.grant
+			return this.client.extend(grant).pipe(
+				Effect.map(() => {
+					if (this.grant === grant) this.rightUntil = Math.max(this.rightUntil, until)
+				}),
+				Effect.catchTag('GrantOver', () => Effect.sync(() => this.loseGrant())),
+			)
+		})
+		return step.pipe(
+			Effect.match({ onFailure: () => false, onSuccess: () => true }),
+			Effect.flatMap((ok) => {
+				if (!ok) this.askPromises()
+				return Effect.sleep(this.grant === null || !ok ? lifeMs * 0.06 : lifeMs * 0.2)
+			}),
+			Effect.forever,
+		)
+	}
+
+	private loseGrant(): void {
+		this.grant = null
+		this.rightUntil = 0
+		for (const part of [...this.owned.keys()]) this.drop(part, 'the grant ended')
+	}
+
+	private drop(part: number, why: string): void {
+		if (!this.owned.delete(part)) return
+		this.events.lost(part, why)
+	}
+
+	/** Called for every change of a `part/` key. */
+	partChanged(part: number): void {
+		const entry = this.mirror.get(partKey(part))
+		const record = asPart(entry?.data)
+		const mine = record !== null && record.owner === this.d.self && record.life === this.life
+		if (!mine) this.drop(part, record === null ? 'the key is gone' : `${record.owner} has it`)
+		else if (entry !== undefined) this.own(part, entry.stamp)
+		if (record === null) {
+			if (!this.absentSince.has(part)) this.absentSince.set(part, this.now())
+		} else this.absentSince.delete(part)
+		this.takeWhatIsFree()
+	}
+
+	private own(part: number, token: number): void {
+		const known = this.owned.get(part)
+		if (known !== undefined && known.token >= token) return
+		if (known !== undefined) this.drop(part, 'taken again')
+		this.owned.set(part, { part, token, since: this.now() })
+		this.events.log('info', 'took part', { part, token })
+		this.events.took(part, token)
+	}
+
+	/** Looks at every part; called on changes and regularly. */
+	takeWhatIsFree(): void {
+		if (this.grant === null || this.mirror.epoch < 0 || this.right() !== 'grant') return
+		for (let part = 0; part < this.d.names.length; part++) {
+			if (this.owned.has(part) || this.taking.has(part)) continue
+			if (this.mayTake(part)) this.take(part)
+		}
+	}
+
+	private mayTake(part: number): boolean {
+		const now = this.now()
+		const record = asPart(this.mirror.get(partKey(part))?.data)
+		// A process starts anew only after its former life ended, so what stands in our name is ours to renew.
+		if (record !== null) return record.owner === this.d.self && record.life !== this.life
+		const last = asPart(this.mirror.get(lastOwnerKey(part))?.data)?.owner
+		if (last !== undefined && last !== this.d.self) {
+			// We may have promised its owner, in this life or one that we cannot remember, to leave it alone.
+			if (this.promisedTo(last) || now - this.started < this.d.promiseMs * 1.01 + 100) return false
+		}
+		const home = this.d.names[part]
+		if (home === this.d.self) return true
+		// Others wait their turn: the home controller first, then its successors one after the other.
+		const step = this.d.grantMs * 0.08
+		const turn = (this.d.names.indexOf(this.d.self) - part + this.d.names.length) % this.d.names.length
+		const patience = last === undefined ? this.d.grantMs : this.alive(home) ? step * 6 : 0
+		const since = Math.max(this.absentSince.get(part) ?? this.started, this.started)
+		return now - since >= patience + step * turn
+	}
+
+	private take(part: number): void {
+		const grant = this.grant
+		if (grant === null) return
+		this.taking.add(part)
+		const data = { owner: this.d.self, life: this.life }
+		const stamp = this.mirror.stamp(partKey(part))
+		Effect.runFork(
+			this.client
+				.txn(
+					[{ key: ROOT + partKey(part), stamp }],
+					[
+						{ set: ROOT + partKey(part), data, grant },
+						{ set: ROOT + lastOwnerKey(part), data },
+					],
+				)
+				.pipe(
+					Effect.match({
+						onSuccess: (r) => {
+							this.taking.delete(part)
+							if (r.ok && this.grant === grant) this.mirror.wrote(partKey(part), data, r.epoch)
+						},
+						onFailure: (e) => {
+							if (e._tag === 'GrantOver' && this.grant === grant) this.loseGrant()
+							// Unanswered: if it was or is yet applied, the watch will tell.
+							setTimeout(() => this.taking.delete(part), this.d.grantMs * 0.1)
+						},
+					}),
+				),
+		)
+	}
+
+	/** Gives parts back to their home controller once that has been up and ready for a while. */
+	handBack(): void {
+		if (this.right() !== 'grant') return
+		for (const { part, token, since } of [...this.owned.values()]) {
+			const home = this.d.names[part]
+			if (home === this.d.self) continue
+			const peer = this.peers.find((p) => p.name === home)
+			const news = peer?.news
+			if (!peer || !news?.ready || news.grant === null || !this.alive(home)) continue
+			if (news.upMs < this.d.grantMs * 0.4 || this.now() - since < this.d.grantMs * 0.4) continue
+			const data = { owner: home, life: news.life }
+			this.drop(part, `handed back to ${home}`)
+			this.taking.add(part)
+			Effect.runFork(
+				this.client
+					.txn(
+						[{ key: ROOT + partKey(part), stamp: token }],
+						[
+							{ set: ROOT + partKey(part), data, grant: news.grant },
+							{ set: ROOT + lastOwnerKey(part), data },
+						],
+					)
+					.pipe(
+						Effect.match({
+							onSuccess: (r) => {
+								if (r.ok) this.mirror.wrote(partKey(part), data, r.epoch)
+							},
+							onFailure: () => {},
+						}),
+						Effect.andThen(Effect.sleep(this.d.grantMs * 0.2)),
+						Effect.map(() => {
+							this.taking.delete(part)
+							this.reclaim(part, token)
+						}),
+					),
+			)
+			return
+		}
+	}
+
+	/** A hand-over that did not happen leaves the key in our name: take it again under a new token. */
+	private reclaim(part: number, token: number): void {
+		const entry = this.mirror.get(partKey(part))
+		const record = asPart(entry?.data)
+		if (entry?.stamp !== token || record?.life !== this.life || this.owned.has(part)) return
+		if (this.right() === 'grant') this.take(part)
+	}
+
+	/** Takes every owned part again, under new tokens. */
+	retake(): void {
+		for (const { part } of [...this.owned.values()]) {
+			this.drop(part, 'taken anew after an error')
+			if (this.right() === 'grant') this.take(part)
+		}
+	}
+
+	// ---- between controllers ----
+
+	private post(peer: Peer, path: string, body: unknown): Effect.Effect<unknown> {
+		return this.caller
+			.call(peer.address, 'POST', path, body, this.d.grantMs * 0.25)
+			.pipe(Effect.match({ onFailure: () => null, onSuccess: (a) => (a.status === 200 ? a.body : null) }))
+	}
+
+	private ownNews(): PeerNews {
+		const { running, ready } = this.events.news()
+		return {
+			name: this.d.self,
+			life: this.life,
+			grant: this.grant,
+			upMs: Math.round(this.now() - this.started),
+			ready: ready && this.right() === 'grant',
+			running,
+		}
+	}
+
+	gossip(): void {
+		const news = this.ownNews()
+		for (const peer of this.peers)
+			Effect.runFork(this.post(peer, '/peer/news', news).pipe(Effect.map((answer) => this.hear(answer))))
+	}
+
+	private hear(message: unknown): void {
+		if (!isMap(message) || typeof message.name !== 'string' || !isMap(message.running)) return
+		const peer = this.peers.find((p) => p.name === message.name)
+		if (peer === undefined) return
+		peer.heard = this.now()
+		peer.news = message as unknown as PeerNews
+	}
+
+	/** Answers a message of another controller. */
+	answer(path: string, message: unknown): unknown {
+		if (path === '/peer/news') {
+			this.hear(message)
+			return this.ownNews()
+		}
+		if (path === '/peer/promise' && isMap(message) && typeof message.name === 'string')
+			return this.promise(message)
+		return null
+	}
+
+	/**
+	 * A member that cannot reach the state asks us not to adopt its parts for a short while. Only if we cannot
+	 * reach it either: otherwise the part is better off with somebody who can.
+	 */
+	private promise(message: Record<string, unknown>): unknown {
+		const member = String(message.name)
+		const now = this.now()
+		if (now - this.lastStateOk < this.d.grantMs * 0.25 || now - this.started < this.d.promiseMs)
+			return { promised: false }
+		const parts = Array.isArray(message.parts) ? message.parts.map(Number) : []
+		if (parts.some((p) => this.taking.has(p) || this.owned.has(p))) return { promised: false }
+		this.given.set(member, now + this.d.promiseMs * 1.002)
+		return { promised: true, cancelled: this.events.cancelled(parts) }
+	}
+
+	private askPromises(): void {
+		if (this.owned.size === 0 || this.grant === null) return
+		const message = { name: this.d.self, parts: [...this.owned.keys()] }
+		for (const peer of this.peers) {
+			const sent = this.now()
+			Effect.runFork(
+				this.post(peer, '/peer/promise', message).pipe(
+					Effect.map((answer) => {
+						if (!isMap(answer) || answer.promised !== true) return
+						peer.promised = Math.max(peer.promised, sent + this.d.promiseMs * 0.998)
+						if (Array.isArray(answer.cancelled)) this.events.applyCancelled(answer.cancelled.map(String))
+					}),
+				),
+			)
+		}
+	}
+}
--- /dev/null
+++ b/packages/cluster/src/records.ts
@@ -0,0 +1,72 @@
+import { isMap, type JobSpec } from '@heathroad/wire'
+
+/** Keys below the root, and what they hold. */
+export const partKey = (k: number): string => `part/${k}`
+export const lastOwnerKey = (k: number): string => `last/${k}`
+export const machineKey = (id: string): string => `machine/${id}`
+export const rentalKey = (name: string): string => `rental/${name}`
+export const jobKey = (uid: string): string => `job/${uid}`
+export const chunkKey = (uid: string, c: number): string => `done/${uid}/${c}`
+export const CATALOG = 'catalog'
+
+export interface PartRecord {
+	owner: string
+	/** tells two lives of one controller apart */
+	life: string
+}
+
+export interface MachineRecord {
+	part: number
+	type: string
+	zone: string
+	spot: boolean
+	addr: string | null
+	/** no start command may have gone to a machine that is not `used` */
+	used: boolean
+}
+
+export interface RentalRecord {
+	part: number
+	type: string
+	zone: string
+	spot: boolean
+	count: number
+}
+
+/** An unfinished job, or the compact form of its final state that is kept for ever. */
+export interface JobRecord {
+	part: number
+	spec?: JobSpec
+	/** time of day of its acceptance, in ms */
+	at?: number
+	/** done tasks among the first CHUNK, as flat ranges; further chunks have keys of their own */
+	done?: number[]
+	final?: 'done' | 'aborted'
+	tasks?: number
+	count?: number
+	need?: { team: string; cpus: number; gpus: number; ramGb: number }
+}
+
+/** Tasks whose completion one key records: at worst 512 ranges, well below the smallest value limit. */
+export const CHUNK = 1024
+
+export const asPart = (data: unknown): PartRecord | null =>
+	isMap(data) && typeof data.owner === 'string' && typeof data.life === 'string'
+		? (data as unknown as PartRecord)
+		: null
+
+export const asMachine = (data: unknown): MachineRecord | null =>
+	isMap(data) && typeof data.part === 'number' ? (data as unknown as MachineRecord) : null
+
+export const asRental = (data: unknown): RentalRecord | null =>
+	isMap(data) && typeof data.part === 'number' ? (data as unknown as RentalRecord) : null
+
+export const asJob = (data: unknown): JobRecord | null =>
+	isMap(data) && typeof data.part === 'number' ? (data as unknown as JobRecord) : null
+
+/** A stable number for a name, to spread unclaimed machines and limited teams over parts. */
+export const hash = (name: string): number => {
+	let h = 2166136261
+	for (let i = 0; i < name.length; i++) h = Math.imul(h ^ name.charCodeAt(i), 16777619)
+	return h >>> 0
+}
--- /dev/null
+++ b/packages/config/src/index.ts
@@ -0,0 +1,183 @@
+import { readFileSync } from 'node:fs'
+import { Result, Schema } from 'effect'
+import * as ini from 'ini'
+
+const positive = Schema.Finite.check(Schema.isGreaterThan(0))
+const amount = Schema.Finite.check(Schema.isGreaterThanOrEqualTo(0))
+const address = Schema.String.check(Schema.isPattern(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/))
+const name = Schema.NonEmptyString
+
+const Settings = Schema.Struct({
+	host_name: name,
+	site: name,
+	bind: address,
+	internal_addr: address,
+	members: Schema.Array(Schema.Struct({ host_name: name, site: name, peer_addr: address })),
+	services: Schema.Struct({ cloud: address, state: address }),
+	deployment: Schema.Struct({
+		zones: Schema.Array(name),
+		teams: Schema.Array(
+			Schema.Struct({ name, cpus: amount, cpus_max: amount, gpus: amount, gpus_max: amount }),
+		),
+		workers: Schema.Struct({
+			report_s: positive,
+			lease_s: positive,
+			cancel_s: positive,
+		}),
+		state: Schema.Struct({
+			rps: positive,
+			write_rps: positive,
+			value_kb: positive,
+			txn_ops: Schema.Int.check(Schema.isGreaterThan(0)),
+		}),
+		cloud: Schema.Struct({ rps: positive, list_lag_s: amount }),
+		resources: Schema.Struct({ cpu: positive, memory_mb: positive, fd_limit: positive }),
+	}),
+})
+
+export type Settings = Schema.Schema.Type<typeof Settings>
+
+/** Operators' own settings, each with what it does when it is not given. */
+export interface Tuning {
+	/** An empty machine goes back after this many report periods. */
+	idleReports: number
+	/** Progress of unfinished jobs is written every so many report periods. */
+	progressReports: number
+	/** A job's default budget: 0 is the cheapest sequential cost, 1 the parallel cost. */
+	budgetMix: number
+}
+
+const TUNING: {
+	[K in keyof Tuning]: { section: string; key: string; value: number; min: number; max: number }
+} = {
+	idleReports: { section: 'machines', key: 'idle_reports', value: 6, min: 1, max: 10_000 },
+	progressReports: { section: 'store', key: 'progress_reports', value: 3, min: 1, max: 10_000 },
+	budgetMix: { section: 'budget', key: 'mix', value: 0.5, min: 0, max: 1 },
+}
+
+export class ConfigError extends Error {}
+
+const readText = (path: string): string => {
+	try {
+		return readFileSync(path, 'utf8')
+	} catch (e) {
+		throw new ConfigError(`${path}: cannot be read (${(e as NodeJS.ErrnoException).code ?? 'unknown'})`)
+	}
+}
+
+export const readTuning = (path: string | undefined): Tuning => {
+	const tuning: Tuning = { idleReports: 0, progressReports: 0, budgetMix: 0 }
+	for (const [field, t] of Object.entries(TUNING)) tuning[field as keyof Tuning] = t.value
+	if (path === undefined) return tuning
+	const known = Object.entries(TUNING) as [keyof Tuning, (typeof TUNING)[keyof Tuning]][]
+	for (const [section, content] of Object.entries(ini.parse(readText(path)))) {
+		if (typeof content !== 'object') throw new ConfigError(`${path}: ${section}: stands outside a section`)
+		for (const [key, raw] of Object.entries(content as Record<string, unknown>)) {
+			const entry = known.find(([, t]) => t.section === section && t.key === key)
+			if (!entry) throw new ConfigError(`${path}: ${section}.${key}: no such key`)
+			const [field, t] = entry
+			const value = Number(raw)
+			if (raw === '' || typeof raw !== 'string' || !(value >= t.min && value <= t.max))
+				throw new ConfigError(`${path}: ${section}.${key}: must be a number from ${t.min} to ${t.max}`)
+			tuning[field] = value
+		}
+		if (!known.some(([, t]) => t.section === section))
+			throw new ConfigError(`${path}: ${section}: no such section`)
+	}
+	return tuning
+}
+
+/**
+ * Figures that the service derives from the settings. All are ratios, so that a deployment with other
+ * leases or rates gets proportionate behaviour without any change here.
+ */
+export interface Derived {
+	/** All controllers, sorted: part number K is at home at names[K]. */
+	names: string[]
+	self: string
+	zone: string
+	peers: { name: string; address: string }[]
+	reportMs: number
+	/** A worker's lease, stretched by what two clocks can drift apart and a margin for late timers. */
+	leaseMs: number
+	cancelMs: number
+	grantMs: number
+	/** How long one promise of a member not to adopt a part lasts. */
+	promiseMs: number
+	/** Taken off every right that ends on our clock. */
+	marginMs: number
+	writesPerS: number
+	readsPerS: number
+	cloudPerS: number
+	/** Bound of submissions waiting for their write. */
+	intakeLimit: number
+	sockets: number
+}
+
+export interface Config {
+	settings: Settings
+	tuning: Tuning
+	derived: Derived
+}
+
+export const derive = (s: Settings): Derived => {
+	const names = [s.host_name, ...s.members.map((m) => m.host_name)].sort()
+	const d = s.deployment
+	const w = d.workers
+	// The grant, a promise and a worker's lease together stay below the time a cancellation has.
+	const slackS = Math.max(0.5, w.cancel_s - w.lease_s)
+	const grantMs = Math.min(600_000, Math.max(1000, 1000 * Math.min(w.lease_s * 0.5, slackS * 0.25)))
+	const marginMs = grantMs * 0.06
+	return {
+		names,
+		self: s.host_name,
+		zone: s.site,
+		peers: s.members.map((m) => ({ name: m.host_name, address: m.peer_addr })),
+		reportMs: w.report_s * 1000,
+		leaseMs: w.lease_s * 1000 * 1.002 + 300,
+		cancelMs: w.cancel_s * 1000,
+		grantMs: Math.round(grantMs),
+		promiseMs: Math.min(grantMs, 1000 * slackS * 0.15),
+		marginMs,
+		writesPerS: d.state.write_rps / names.length,
+		readsPerS: d.state.rps / names.length,
+		cloudPerS: d.cloud.rps / names.length,
+		intakeLimit: Math.max(8, Math.ceil(d.state.write_rps * 2.5)),
+		sockets: Math.floor(d.resources.fd_limit * 0.8),
+	}
+}
+
+const decodeSettings = Schema.decodeUnknownResult(Settings)
+
+export const checkSettings = (value: unknown): Settings => {
+	const read = decodeSettings(value)
+	if (Result.isFailure(read)) {
+		const text = String(read.failure.message ?? read.failure).replace(/\s+/g, ' ')
+		const at = /at (\[.*\])\s*$/.exec(text)
+		const field = at ? at[1].replace(/\]\[/g, '.').replace(/[[\]"]/g, '') : 'settings'
+		throw new ConfigError(`${field}: ${text.replace(/ at \[.*$/, '')}`)
+	}
+	const s = read.success
+	const names = [s.host_name, ...s.members.map((m) => m.host_name)]
+	if (new Set(names).size !== names.length) throw new ConfigError('members: two members share a host_name')
+	if (s.deployment.workers.cancel_s <= s.deployment.workers.lease_s)
+		throw new ConfigError('deployment.workers.cancel_s: must be longer than lease_s')
+	return s
+}
+
+export const loadConfig = (settingsPath: string, iniPath?: string): Config => {
+	let value: unknown
+	const text = readText(settingsPath)
+	try {
+		value = JSON.parse(text)
+	} catch {
+		throw new ConfigError(`${settingsPath}: is not JSON`)
+	}
+	let settings: Settings
+	try {
+		settings = checkSettings(value)
+	} catch (e) {
+		throw new ConfigError(`${settingsPath}: ${(e as Error).message}`)
+	}
+	return { settings, tuning: readTuning(iniPath), derived: derive(settings) }
+}
--- /dev/null
+++ b/packages/controller/src/index.ts
@@ -0,0 +1,2 @@
+export * from './model.js'
+export * from './part.js'
--- /dev/null
+++ b/packages/controller/src/model.ts
@@ -0,0 +1,116 @@
+import type { RentalRequest, RentResult } from '@heathroad/cloud'
+import type { Ledger } from '@heathroad/policy'
+import { Ranges } from '@heathroad/policy'
+import type { Entry, Write } from '@heathroad/store'
+import type { Count, EndCause, JobSpec, MachineType, Order, Report, TaskState } from '@heathroad/wire'
+
+/** `planned`: chosen for a machine, nothing sent yet. `sent`: in a report's response, not settled yet. */
+export type AttemptState = 'planned' | 'sent' | TaskState
+
+export interface Attempt {
+	key: string
+	name: string
+	uid: string
+	machine: Machine
+	task: number
+	attempt: Count
+	job: JobRun | null
+	state: AttemptState
+	cause: EndCause | null
+	/** its end was taken into account */
+	handled: boolean
+	/** of no use here: stopped as soon as it is seen */
+	stray: boolean
+	/** stop it, granting so many seconds to save */
+	stopGraceS: number | null
+	startedAt: number | null
+	share: number
+	need: { cpus: number; gpus: number; ramGb: number; team: string }
+}
+
+export interface Machine {
+	id: string
+	type: MachineType
+	zone: string
+	spot: boolean
+	addr: string | null
+	token: number
+	/** has its `used` mark been written, so that it may get start commands? */
+	mark: 'no' | 'writing' | 'yes'
+	/** a report under our token was seen: what it does not list is not there */
+	confirmed: boolean
+	up: boolean
+	tenure: Count
+	counter: Count
+	/** latest moment at which anybody can have answered one of its reports */
+	answeredAt: number
+	/** when it was rented, or found in the records */
+	knownAt: number
+	attempts: Map<string, Attempt>
+	images: Map<string, number>
+	noticeUntil: number | null
+	/** being returned: nothing new goes there */
+	leaving: string | null
+	releasing: boolean
+	idleSince: number | null
+	blockedUntil: number
+	/** jobs with failed attempts here since its last success */
+	faults: Set<string>
+	probing: boolean
+	free: { cpus: number; gpus: number; ramGb: number }
+}
+
+export class JobRun {
+	/** absent everywhere and not done: may be started */
+	ready = new Ranges()
+	done = new Ranges()
+	durable = new Ranges()
+	/** task -> the attempt that may be on a machine, or is planned for one */
+	placed = new Map<number, Attempt>()
+	zones = new Map<string, number>()
+	/** cancelled or done */
+	over = false
+	writing = false
+	lastWrite = 0
+	notBefore = 0
+	failures = 0
+	/** machines on which it failed */
+	avoid = new Set<string>()
+
+	constructor(
+		readonly spec: JobSpec,
+		readonly at: number,
+		readonly ledger: Ledger,
+		public settled: boolean,
+	) {}
+
+	runningCount(): number {
+		let n = 0
+		for (const a of this.placed.values()) if (a.state === 'running' || a.state === 'flushing') n++
+		return n
+	}
+}
+
+/** What a part needs from the world. All of it may fail or come late; nothing here blocks. */
+export interface Ports {
+	now(): number
+	right(): 'grant' | 'promise' | 'none'
+	entry(key: string): Entry | undefined
+	under(prefix: string): Iterable<[string, Entry]>
+	wrote(key: string, data: unknown, stamp: number): void
+	write(w: Omit<Write, 'until'>): void
+	/** brings the mirror up to date, then calls back */
+	refresh(done: () => void): void
+	command(
+		addr: string,
+		token: number,
+		tenure: Count,
+		orders: Order[],
+		done: (status: number, report: Report | null) => void,
+	): void
+	rent(request: RentalRequest, done: (result: RentResult) => void): void
+	release(ids: string[], done: (gone: boolean) => void): void
+	cloudBusy(): boolean
+	catalog(): readonly MachineType[]
+	log(level: 'info' | 'debug' | 'error', event: string, fields?: Record<string, unknown>): void
+}
--- /dev/null
+++ b/packages/policy/src/placement.ts
@@ -0,0 +1,149 @@
+import type { JobSpec, MachineType, Priority } from '@heathroad/wire'
+import { PRIORITIES } from '@heathroad/wire'
+
+export interface Room {
+	cpus: number
+	gpus: number
+	ramGb: number
+}
+
+const EPS = 1e-9
+
+export const fits = (spec: Room, room: Room): boolean =>
+	spec.cpus <= room.cpus + EPS && spec.gpus <= room.gpus + EPS && spec.ramGb <= room.ramGb + EPS
+
+/** How many tasks fit side by side. */
+export const howMany = (spec: Room, room: Room): number => {
+	const of = (need: number, have: number) =>
+		need > 0 ? Math.floor((have + EPS) / need) : Number.POSITIVE_INFINITY
+	const n = Math.min(of(spec.cpus, room.cpus), of(spec.gpus, room.gpus), of(spec.ramGb, room.ramGb))
+	return Number.isFinite(n) ? Math.max(0, n) : 1
+}
+
+/** The part of a machine that a task takes, by its scarcest resource. */
+export const fraction = (spec: Room, type: Room): number =>
+	Math.min(
+		1,
+		Math.max(
+			type.cpus > 0 ? spec.cpus / type.cpus : 0,
+			type.gpus > 0 ? spec.gpus / type.gpus : 0,
+			type.ramGb > 0 ? spec.ramGb / type.ramGb : 0,
+		),
+	)
+
+export const rank = (p: Priority): number => PRIORITIES.indexOf(p)
+
+/** May a task of this job be on such a machine, leaving the job's other tasks aside? */
+export const allowed = (spec: JobSpec, m: { type: { name: string }; zone: string; spot: boolean }): boolean =>
+	(spec.types === null || spec.types.includes(m.type.name)) &&
+	(spec.zone === null || spec.zone === m.zone) &&
+	(spec.spot || !m.spot)
+
+/**
+ * May one more task go to `zone`, given how many of the job's tasks are (or may be) in each zone?
+ * `apart` counts against the job's size: at most half of its tasks, rounded up, in one zone.
+ */
+export const zoneAllowed = (spec: JobSpec, zone: string, inZone: ReadonlyMap<string, number>): boolean => {
+	if (spec.samePlace) for (const [z, n] of inZone) if (n > 0 && z !== zone) return false
+	if (spec.apart && (inZone.get(zone) ?? 0) + 1 > Math.ceil(spec.tasks / 2)) return false
+	return true
+}
+
+/** 422: no catalogued type could ever run one task of the job. */
+export const canEverRun = (spec: JobSpec, types: readonly MachineType[]): boolean =>
+	types.some(
+		(t) =>
+			fits(spec, t) &&
+			(spec.types === null || spec.types.includes(t.name)) &&
+			(spec.zone === null || t.zones.includes(spec.zone)),
+	)
+
+export interface TeamLimit {
+	name: string
+	cpus: number
+	gpus: number
+	cpus_max: number
+	gpus_max: number
+}
+
+/** A limit of 0 means none. */
+export const withinLimit = (
+	team: TeamLimit,
+	used: { cpus: number; gpus: number },
+	spec: Room,
+	tasks = 1,
+): boolean =>
+	(team.cpus_max <= 0 || used.cpus + spec.cpus * tasks <= team.cpus_max + EPS) &&
+	(team.gpus_max <= 0 || used.gpus + spec.gpus * tasks <= team.gpus_max + EPS)
+
+export interface Candidate {
+	id: string
+	parentOutput: boolean
+	image: boolean
+	seconds: number
+	cost: number
+	/** what stays free if it takes the task; the fuller machine wins a tie, so that empty ones can go back */
+	slack: number
+}
+
+const faster = (a: Candidate, b: Candidate): Candidate =>
+	b.seconds < a.seconds - EPS ||
+	(b.seconds <= a.seconds + EPS && (b.slack < a.slack || (b.slack === a.slack && b.id < a.id)))
+		? b
+		: a
+
+/**
+ * Algorithm 2: the fastest machine within the share among those holding a parent's output, else among those
+ * holding the image, else among all. `undefined` when none is within the share.
+ */
+export const chooseMachine = (candidates: readonly Candidate[], share: number): Candidate | undefined => {
+	const inShare = candidates.filter((c) => c.cost <= share * (1 + 1e-6))
+	for (const group of [inShare.filter((c) => c.parentOutput), inShare.filter((c) => c.image), inShare])
+		if (group.length > 0) return group.reduce(faster)
+	return undefined
+}
+
+export const cheapestMachine = (candidates: readonly Candidate[]): Candidate | undefined =>
+	candidates.length === 0
+		? undefined
+		: candidates.reduce((a, b) =>
+				b.cost < a.cost - EPS || (b.cost <= a.cost + EPS && b.slack < a.slack) ? b : a,
+			)
+
+export interface Victim {
+	key: string
+	priority: Priority
+	team: string
+	cpus: number
+	gpus: number
+	ramGb: number
+	/** work that stopping it loses, in seconds */
+	lostS: number
+}
+
+/**
+ * Which running tasks to stop on one machine so that `need` fits: lower priority only, or, for a team within
+ * its guarantee, another team's work beyond that team's own guarantee. The least lost work goes first.
+ */
+export const chooseVictims = (
+	need: Room & { priority: Priority; team: string },
+	free: Room,
+	running: readonly Victim[],
+	entitled: boolean,
+	beyond: (team: string) => boolean,
+): Victim[] | null => {
+	const may = running.filter(
+		(v) => rank(v.priority) < rank(need.priority) || (entitled && v.team !== need.team && beyond(v.team)),
+	)
+	may.sort((a, b) => rank(a.priority) - rank(b.priority) || a.lostS - b.lostS)
+	const room = { cpus: free.cpus, gpus: free.gpus, ramGb: free.ramGb }
+	const out: Victim[] = []
+	for (const v of may) {
+		if (fits(need, room)) break
+		out.push(v)
+		room.cpus += v.cpus
+		room.gpus += v.gpus
+		room.ramGb += v.ramGb
+	}
+	return fits(need, room) ? out : null
+}
--- /dev/null
+++ b/packages/policy/src/renting.ts
@@ -0,0 +1,53 @@
+import type { JobSpec, MachineType } from '@heathroad/wire'
+import { fits, howMany } from './placement.js'
+
+/** Something that can be rented: a type in a zone, ordinary or spot. */
+export interface Offer {
+	type: MachineType
+	zone: string
+	spot: boolean
+}
+
+export const offerKey = (o: { type: { name: string }; zone: string; spot: boolean }): string =>
+	`${o.type.name}/${o.zone}/${o.spot ? 'spot' : 'ordinary'}`
+
+export const hourly = (o: { type: MachineType; spot: boolean }): number =>
+	o.spot ? o.type.spotPrice : o.type.price
+
+/** Time of a task from the rental request to its end, and its slice of the machine's price for that time. */
+export const offerCost = (
+	spec: JobSpec,
+	runS: number,
+	o: { type: MachineType; spot: boolean },
+	booted: boolean,
+	hasImage: boolean,
+): { seconds: number; cost: number } => {
+	const fetchS = hasImage ? 0 : spec.imageGb / Math.max(0.01, o.type.fetchGbPerS)
+	const seconds = (booted ? 0 : o.type.bootS) + fetchS + runS
+	const slots = Math.max(1, howMany(spec, o.type))
+	return { seconds, cost: (seconds * hourly(o)) / 3600 / slots }
+}
+
+/**
+ * How much of a new machine's time one waiting task is worth: its run against boot and run together. A machine
+ * rented for short tasks would serve several of them in the time that renting takes, so each asks for less.
+ */
+export const rentWeight = (runS: number, bootS: number): number => runS / Math.max(1e-6, runS + bootS)
+
+/** The offer for a batch: fastest within the share, near-ties by price; else the cheapest (design, "ours"). */
+export const chooseOffer = (
+	spec: JobSpec,
+	runS: number,
+	share: number,
+	offers: readonly Offer[],
+): Offer | undefined => {
+	const rated = offers
+		.filter((o) => fits(spec, o.type))
+		.map((o) => ({ o, ...offerCost(spec, runS, o, false, false) }))
+	if (rated.length === 0) return undefined
+	const within = rated.filter((r) => r.cost <= share * (1 + 1e-6))
+	const cheapest = (list: typeof rated) => list.reduce((a, b) => (b.cost < a.cost ? b : a))
+	if (within.length === 0) return cheapest(rated).o
+	const quick = Math.min(...within.map((r) => r.seconds))
+	return cheapest(within.filter((r) => r.seconds <= quick * 1.1)).o
+}
--- /dev/null
+++ b/packages/server/src/index.ts
@@ -0,0 +1,1 @@
+export * from './service.js'
--- /dev/null
+++ b/packages/server/src/service.ts
@@ -0,0 +1,318 @@
+import type * as http from 'node:http'
+import { Cloud } from '@heathroad/cloud'
+import { asJob, asMachine, asPart, CATALOG, hash, jobKey, Membership, machineKey } from '@heathroad/cluster'
+import type { Config } from '@heathroad/config'
+import { Part, type Ports } from '@heathroad/controller'
+import {
+	type Entry,
+	Mirror,
+	makeStoreClient,
+	ROOT,
+	type StoreClient,
+	Urgency,
+	Writer,
+} from '@heathroad/store'
+import { type Caller, type MachineType, makeCaller, readReport, writeOrders } from '@heathroad/wire'
+import { Effect, Fiber } from 'effect'
+import { type Call, listen, type Tell } from './http.js'
+import { Users } from './users.js'
+
+export type LogLevel = 'error' | 'info' | 'debug'
+export type Log = (level: LogLevel, event: string, fields?: Record<string, unknown>) => void
+
+/** One controller: composes the parts it owns with the state, the cloud, its peers and its HTTP faces. */
+export class Service {
+	private readonly parts = new Map<number, Part>()
+	private readonly caller: Caller
+	private readonly client: StoreClient
+	readonly mirror: Mirror
+	readonly writer: Writer
+	readonly members: Membership
+	private readonly cloud: Cloud
+	private types: readonly MachineType[] = []
+	private stateOkAt = Number.NEGATIVE_INFINITY
+	/** jobs not in a final state, as far as the mirror knows */
+	readonly open = new Set<string>()
+	private cancelledLately: { uid: string; part: number; at: number }[] = []
+	/** unclaimed machines: when their first report came */
+	private readonly strangers = new Map<string, number>()
+	private fibers: Fiber.Fiber<unknown, unknown>[] = []
+	private timers: ReturnType<typeof setInterval>[] = []
+	private servers: http.Server[] = []
+	private readonly users: Users
+
+	constructor(
+		readonly config: Config,
+		readonly log: Log,
+		readonly now: () => number = () => performance.now(),
+	) {
+		const { settings, derived } = config
+		this.caller = makeCaller(Math.max(4, Math.floor(derived.sockets / 16)))
+		const timeoutMs = derived.grantMs * 0.3
+		this.client = makeStoreClient(this.caller, settings.services.state, timeoutMs, (ok) => {
+			if (ok) this.stateOkAt = this.now()
+			this.members.stateHeard(ok)
+		})
+		this.mirror = new Mirror((key, entry) => this.changed(key, entry))
+		const limits = settings.deployment.state
+		this.writer = new Writer(
+			this.client,
+			{ perS: derived.writesPerS, burst: limits.write_rps, ops: limits.txn_ops, bytes: 48 * 1024 },
+			this.now,
+		)
+		this.cloud = new Cloud(
+			this.caller,
+			settings.services.cloud,
+			derived.cloudPerS,
+			derived.grantMs * 2,
+			this.now,
+		)
+		this.members = new Membership(derived, this.mirror, this.client, this.caller, this.now, {
+			took: (part, token) => this.took(part, token),
+			lost: (part, why) => this.lost(part, why),
+			news: () => this.news(),
+			cancelled: (parts) => this.cancelledLately.filter((c) => parts.includes(c.part)).map((c) => c.uid),
+			applyCancelled: (uids) => {
+				for (const p of this.parts.values()) for (const uid of uids) p.applyCancelled(uid)
+			},
+			log,
+		})
+		this.users = new Users(this)
+	}
+
+	async start(): Promise<void> {
+		const { settings, derived } = this.config
+		const limits = { idleMs: derived.leaseMs * 2, requestMs: 5000, sockets: derived.sockets }
+		this.servers = [
+			await listen(settings.bind, limits, (call, reply) => this.face(call, reply)),
+			await listen(settings.internal_addr, limits, (call, reply) => {
+				const body = call.method === 'POST' ? this.members.answer(call.path, call.body) : null
+				reply(body === null ? { status: 404 } : { status: 200, body })
+			}),
+		]
+		const gapMs = 3000 / derived.readsPerS
+		this.fibers = [
+			Effect.runFork(this.mirror.follow(this.client, derived.grantMs * 2, gapMs)),
+			Effect.runFork(this.members.keepGrant()),
+			Effect.runFork(this.watchCatalog()),
+		]
+		const every = (ms: number, what: () => void) => this.timers.push(setInterval(what, ms))
+		every(Math.min(250, derived.reportMs / 4), () => this.tick())
+		every(derived.grantMs * 0.15, () => this.members.gossip())
+		this.members.gossip()
+		this.log('info', 'started', { name: derived.self, upMs: Math.round(performance.now()) })
+	}
+
+	async stop(): Promise<void> {
+		for (const t of this.timers) clearInterval(t)
+		for (const f of this.fibers) Effect.runFork(Fiber.interrupt(f))
+		for (const p of this.parts.values()) p.stop()
+		for (const s of this.servers) {
+			s.closeAllConnections()
+			await new Promise((done) => s.close(done))
+		}
+	}
+
+	/** After an error of our own a part's picture may be half changed: it is taken anew and rebuilt. */
+	recover(error: unknown): void {
+		this.log('error', 'unexpected error', { error: error instanceof Error ? error.stack : String(error) })
+		this.members.retake()
+	}
+
+	private tick(): void {
+		this.members.takeWhatIsFree()
+		this.members.handBack()
+		for (const p of this.parts.values()) p.tick()
+		const old = this.now() - this.config.derived.cancelMs
+		if (this.cancelledLately.length > 0 && this.cancelledLately[0].at < old)
+			this.cancelledLately = this.cancelledLately.filter((c) => c.at >= old)
+	}
+
+	// ---- catalog ----
+
+	catalog(): readonly MachineType[] {
+		return this.types
+	}
+
+	private setCatalog(types: readonly MachineType[]): void {
+		if (types.length === 0) return
+		const first = this.types.length === 0
+		this.types = types
+		if (first) for (const p of this.parts.values()) p.catalogChanged()
+	}
+
+	private watchCatalog(): Effect.Effect<never> {
+		const d = this.config.derived
+		const step = Effect.suspend(() => this.cloud.catalog()).pipe(
+			Effect.flatMap((types) => {
+				if (types === null || types.length === 0) return Effect.sleep(d.grantMs * 0.2)
+				this.setCatalog(types)
+				// Kept in the state too, so that a controller that starts while the cloud is down knows the types.
+				if (this.mirror.epoch >= 0 && this.mirror.get(CATALOG) === undefined)
+					this.writer.submit({
+						urgency: Urgency.progress,
+						conditions: [{ key: ROOT + CATALOG, stamp: 0 }],
+						changes: [{ set: ROOT + CATALOG, data: types }],
+						until: this.now() + d.grantMs,
+						done: () => {},
+					})
+				return Effect.sleep(d.grantMs * 8)
+			}),
+		)
+		return Effect.forever(step)
+	}
+
+	// ---- changes of the records ----
+
+	private changed(key: string, entry: Entry | undefined): void {
+		const slash = key.indexOf('/')
+		const [kind, id] = slash < 0 ? [key, ''] : [key.slice(0, slash), key.slice(slash + 1)]
+		if (kind === 'part') this.members.partChanged(Number(id))
+		else if (kind === 'job') {
+			const record = asJob(entry?.data)
+			if (record === null) return
+			if (record.final === undefined) this.open.add(id)
+			else {
+				this.open.delete(id)
+				if (record.final === 'aborted')
+					this.cancelledLately.push({ uid: id, part: record.part, at: this.now() })
+			}
+			this.parts.get(record.part)?.jobChanged(id, record)
+		} else if (kind === 'machine') {
+			this.strangers.delete(id)
+			for (const p of this.parts.values()) p.machineChanged(id, entry?.data)
+		} else if (kind === CATALOG && this.types.length === 0 && Array.isArray(entry?.data))
+			this.setCatalog(entry.data as MachineType[])
+	}
+
+	private took(k: number, token: number): void {
+		this.parts.set(k, new Part(k, token, this.config, this.ports()))
+	}
+
+	private lost(k: number, why: string): void {
+		this.parts.get(k)?.stop()
+		this.parts.delete(k)
+		this.log('info', 'lost part', { part: k, why })
+	}
+
+	private news() {
+		const running: Record<string, number> = {}
+		for (const p of this.parts.values())
+			for (const [uid, job] of p.jobs) {
+				const n = job.over ? 0 : job.runningCount()
+				if (n > 0) running[uid] = n
+			}
+		return { running, ready: this.mirror.epoch >= 0 && this.stateOk() }
+	}
+
+	stateOk(): boolean {
+		return this.now() - this.stateOkAt < this.config.derived.grantMs * 0.6
+	}
+
+	private ports(): Ports {
+		const d = this.config.derived
+		const run = <A>(effect: Effect.Effect<A>, done: (a: A) => void) => {
+			Effect.runFork(effect.pipe(Effect.map((a) => done(a))))
+		}
+		return {
+			now: this.now,
+			right: () => this.members.right(),
+			entry: (key) => this.mirror.get(key),
+			under: (prefix) => this.mirror.under(prefix),
+			wrote: (key, data, stamp) => this.mirror.wrote(key, data, stamp),
+			write: (w) => this.writer.submit({ ...w, until: this.now() + d.grantMs * 2 }),
+			refresh: (done) =>
+				run(this.mirror.fresh(this.client), (ok) => {
+					if (ok) done()
+					else setTimeout(done, d.grantMs * 0.1)
+				}),
+			command: (addr, token, tenure, orders, done) =>
+				run(
+					this.caller
+						.call(addr, 'POST', '/commands', writeOrders(token, orders, tenure), d.reportMs * 2)
+						.pipe(Effect.match({ onFailure: () => null, onSuccess: (a) => a })),
+					(a) => done(a?.status ?? 0, a === null ? null : readReport(a.body)),
+				),
+			rent: (request, done) => run(this.cloud.rent(request), done),
+			release: (ids, done) => run(this.cloud.release(ids), done),
+			cloudBusy: () => this.cloud.busy(),
+			catalog: () => this.types,
+			log: this.log,
+		}
+	}
+
+	part(k: number): Part | undefined {
+		return this.parts.get(k)
+	}
+
+	ownedParts(): Iterable<Part> {
+		return this.parts.values()
+	}
+
+	/** True once everything durable before the call is in the mirror; false if that takes too long. */
+	fresh(): Effect.Effect<boolean> {
+		return this.mirror.fresh(this.client).pipe(
+			Effect.timeoutOption(1700),
+			Effect.map((o) => o._tag === 'Some' && o.value),
+		)
+	}
+
+	// ---- HTTP ----
+
+	private face(call: Call, reply: Tell): void {
+		if (call.path === '/checkin') {
+			if (call.method !== 'POST') return reply({ status: 405 })
+			return this.checkin(call.body, reply)
+		}
+		if (call.path === '/healthz') {
+			if (call.method !== 'GET') return reply({ status: 405 })
+			return reply(this.healthy() ? { status: 200, body: { status: 'ok' } } : { status: 503, retryAfterS: 1 })
+		}
+		this.users.handle(call, reply)
+	}
+
+	/**
+	 * Healthy: users' requests can be answered. In an outage that every member sees, leaving the balancer would
+	 * only delay the return; a member that alone cannot reach the state leaves the users to the others.
+	 */
+	private healthy(): boolean {
+		if (this.mirror.epoch < 0 || this.types.length === 0) return false
+		if (this.stateOk()) return true
+		const heard = this.members.peers.filter((p) => this.members.alive(p.name))
+		return heard.length > 0 && heard.every((p) => p.news?.ready === false)
+	}
+
+	private checkin(body: unknown, reply: Tell): void {
+		const report = readReport(body)
+		if (report === null) return reply({ status: 400, body: { error: 'not a report' } })
+		if (this.mirror.epoch < 0) return reply({ status: 503, retryAfterS: 1 })
+		const record = asMachine(this.mirror.get(machineKey(report.machine))?.data)
+		const k = record?.part ?? hash(report.machine) % this.config.derived.names.length
+		const part = this.parts.get(k)
+		if (part === undefined) {
+			const owner = this.members.ownerOf(k)
+			const known = owner?.alive && owner.name !== this.config.derived.self
+			return reply({ status: 421, body: known ? { overseer: owner.name } : {} })
+		}
+		if (this.members.right() === 'none') return reply({ status: 503, retryAfterS: 1 })
+		if (record === null) {
+			// A machine just rented reports before its record is known here: give its renter a moment.
+			const first = this.strangers.get(report.machine) ?? this.now()
+			this.strangers.set(report.machine, first)
+			if (this.now() - first >= this.config.derived.reportMs) part.claim(report)
+			return reply({ status: 503, retryAfterS: 1 })
+		}
+		const answer = part.report(report)
+		if (answer === null) return reply({ status: 503, retryAfterS: 1 })
+		reply({ status: 200, body: writeOrders(answer.token, answer.orders) })
+	}
+
+	/** Who owns a part, for a status that its owner knows best. */
+	ownerName(k: number): string | undefined {
+		return asPart(this.mirror.get(`part/${k}`)?.data)?.owner
+	}
+
+	entryOf(uid: string): Entry | undefined {
+		return this.mirror.get(jobKey(uid))
+	}
+}
--- /dev/null
+++ b/packages/server/src/users.ts
@@ -0,0 +1,195 @@
+import { asJob, hash, type JobRecord, jobKey } from '@heathroad/cluster'
+import { canEverRun, withinLimit } from '@heathroad/policy'
+import { ROOT, Urgency, type WriteResult } from '@heathroad/store'
+import { type JobAnswer, type JobSpec, type Reply, readSubmission } from '@heathroad/wire'
+import { Effect } from 'effect'
+import type { Call, Tell } from './http.js'
+import type { Service } from './service.js'
+
+const RUNS = '/v2/runs'
+const later = (retryAfterS = 1, status = 503): Reply => ({
+	status,
+	body: { error: 'come back later' },
+	retryAfterS,
+})
+const unknownPath: Reply = { status: 404, body: { error: 'no such path' } }
+const wrongMethod: Reply = { status: 405, body: { error: 'method not allowed' } }
+
+/** The users' interface: what is told here is durable, and no older than a read begun after the question. */
+export class Users {
+	private readonly accepting = new Map<string, Tell[]>()
+
+	constructor(private readonly s: Service) {}
+
+	handle(call: Call, reply: Tell): void {
+		if (call.path === RUNS) return call.method === 'POST' ? this.submit(call.body, reply) : reply(wrongMethod)
+		if (!call.path.startsWith(`${RUNS}/`)) return reply(unknownPath)
+		const [uid, verb, ...rest] = call.path.slice(RUNS.length + 1).split('/')
+		if (rest.length > 0 || (verb !== undefined && verb !== 'withdraw')) return reply(unknownPath)
+		if (verb === 'withdraw')
+			return call.method === 'POST' ? this.run(this.withdraw(uid), reply) : reply(wrongMethod)
+		return call.method === 'GET' ? this.run(this.status(uid), reply) : reply(wrongMethod)
+	}
+
+	private run(effect: Effect.Effect<Reply>, reply: Tell): void {
+		Effect.runFork(effect.pipe(Effect.map(reply)))
+	}
+
+	private answer(uid: string, record: JobRecord): Reply {
+		const body: JobAnswer = { uid, status: 'pending', done: 0, running: 0 }
+		const total = record.tasks ?? 0
+		if (record.final !== undefined) {
+			body.status = record.final
+			body.done = record.final === 'done' ? total : (record.count ?? 0)
+			return { status: 200, body }
+		}
+		const job = this.s.part(record.part)?.jobs.get(uid)
+		if (job !== undefined && !job.over) {
+			body.done = job.done.size
+			body.running = job.runningCount()
+		} else {
+			const flat = record.done ?? []
+			for (let i = 0; i + 1 < flat.length; i += 2) body.done! += flat[i + 1] - flat[i]
+			const owner = this.s.members.peers.find((p) => p.name === this.s.ownerName(record.part))
+			body.running = Number(owner?.news?.running[uid] ?? 0)
+		}
+		if (body.running! > 0) body.status = 'running'
+		return { status: 200, body }
+	}
+
+	private record(uid: string): JobRecord | null {
+		return asJob(this.s.entryOf(uid)?.data)
+	}
+
+	private status(uid: string): Effect.Effect<Reply> {
+		// A final state stays for ever: no newer answer can exist.
+		const known = this.record(uid)
+		if (known?.final !== undefined) return Effect.succeed(this.answer(uid, known))
+		return this.s.fresh().pipe(
+			Effect.map((ok) => {
+				const record = this.record(uid)
+				if (record?.final !== undefined) return this.answer(uid, record)
+				if (!ok) return later()
+				return record === null ? { status: 404, body: { error: 'no such job' } } : this.answer(uid, record)
+			}),
+		)
+	}
+
+	private withdraw(uid: string, tries = 3): Effect.Effect<Reply> {
+		return this.status(uid).pipe(
+			Effect.flatMap((seen) => {
+				const record = this.record(uid)
+				if (seen.status !== 200 || record === null || record.final !== undefined) return Effect.succeed(seen)
+				if (!this.s.members.mayConfirmCancel(record.part)) return Effect.succeed(later())
+				const data: JobRecord = { part: record.part, final: 'aborted' }
+				if (record.spec !== undefined) {
+					const { team, cpus, gpus, ramGb, tasks } = record.spec
+					data.tasks = tasks
+					data.need = { team, cpus, gpus, ramGb }
+				}
+				const body = seen.body as JobAnswer
+				data.count = body.done ?? 0
+				return this.write(uid, data, this.s.entryOf(uid)!.stamp).pipe(
+					Effect.flatMap((result) => {
+						if (result.kind === 'ok') return Effect.succeed(this.answer(uid, data))
+						if (result.kind === 'conflict' && tries > 1) return this.withdraw(uid, tries - 1)
+						return Effect.succeed(later())
+					}),
+				)
+			}),
+		)
+	}
+
+	private write(uid: string, data: JobRecord, stamp: number): Effect.Effect<WriteResult> {
+		return Effect.callback<WriteResult>((resume) => {
+			this.s.writer.submit({
+				urgency: Urgency.user,
+				conditions: [{ key: ROOT + jobKey(uid), stamp }],
+				changes: [{ set: ROOT + jobKey(uid), data }],
+				until: this.s.now() + 3000,
+				done: (result) => {
+					if (result.kind === 'ok') this.s.mirror.wrote(jobKey(uid), data, result.epoch)
+					resume(Effect.succeed(result))
+				},
+			})
+		})
+	}
+
+	private submit(body: unknown, reply: Tell): void {
+		const spec = readSubmission(body)
+		if (typeof spec === 'string') return reply({ status: 400, body: { error: spec } })
+		const uid = spec.uid
+		if (this.record(uid) !== null) return this.run(this.status(uid), reply)
+		if (this.s.mirror.epoch < 0 || this.s.catalog().length === 0) return reply(later())
+		const waiting = this.accepting.get(uid)
+		if (waiting !== undefined) {
+			waiting.push(reply)
+			return
+		}
+		const refusal = this.refusal(spec)
+		if (refusal !== null) {
+			// Accepted earlier by another controller, it must not be refused now.
+			this.run(
+				this.status(uid).pipe(
+					Effect.map((seen) => (seen.status === 404 ? { status: 422, body: { error: refusal } } : seen)),
+				),
+				reply,
+			)
+			return
+		}
+		const limit = this.s.config.derived.intakeLimit
+		if (this.s.writer.waiting() >= limit) {
+			const retryAfterS = Math.min(30, limit / this.s.config.derived.writesPerS)
+			this.s.log('info', 'submission refused', { uid, why: 'too many are waiting', retryAfterS })
+			return reply(later(retryAfterS, 429))
+		}
+		this.accepting.set(uid, [reply])
+		const record: JobRecord = { part: this.choosePart(spec), spec, at: Date.now() }
+		Effect.runFork(
+			this.write(uid, record, 0).pipe(
+				Effect.flatMap((result): Effect.Effect<Reply> => {
+					if (result.kind === 'ok') {
+						this.s.log('info', 'accepted', { uid, part: record.part, tasks: spec.tasks })
+						return Effect.succeed({ status: 201, body: { uid, status: 'pending' } })
+					}
+					return result.kind === 'conflict' ? this.status(uid) : Effect.succeed(later())
+				}),
+				Effect.map((r) => {
+					const told = r.status === 404 ? later() : r
+					for (const tell of this.accepting.get(uid) ?? []) tell(told)
+					this.accepting.delete(uid)
+				}),
+			),
+		)
+	}
+
+	/** Why a job can never run here; null if it can. */
+	private refusal(spec: JobSpec): string | null {
+		const team = this.s.config.settings.deployment.teams.find((t) => t.name === spec.team)
+		if (team === undefined) return `unknown team ${spec.team}`
+		if (!canEverRun(spec, this.s.catalog())) return 'no allowed machine type has room for one task'
+		if (!withinLimit(team, { cpus: 0, gpus: 0 }, spec, spec.kind === 'sweep' ? 1 : spec.tasks))
+			return `more than the limit of team ${spec.team}`
+		return null
+	}
+
+	/** The part with the least unfinished work. A team with a limit stays in one part, which then keeps it. */
+	private choosePart(spec: JobSpec): number {
+		const parts = this.s.config.derived.names.length
+		const team = this.s.config.settings.deployment.teams.find((t) => t.name === spec.team)
+		if (team !== undefined && (team.cpus_max > 0 || team.gpus_max > 0)) return hash(spec.team) % parts
+		const work = new Array<number>(parts).fill(0)
+		for (const uid of this.s.open) {
+			const record = this.record(uid)
+			if (record?.spec === undefined || record.part >= parts) continue
+			let left = record.spec.tasks
+			const flat = record.done ?? []
+			for (let i = 0; i + 1 < flat.length; i += 2) left -= flat[i + 1] - flat[i]
+			work[record.part] += left * Math.max(0.1, record.spec.cpus) * Math.max(1, record.spec.expectedS)
+		}
+		// Ties are broken by the job's name, so that first jobs at several controllers spread.
+		let best = hash(spec.uid) % parts
+		for (let k = 0; k < parts; k++) if (work[k] < work[best]) best = k
+		return best
+	}
+}
--- /dev/null
+++ b/packages/store/src/index.ts
@@ -0,0 +1,3 @@
+export * from './client.js'
+export * from './mirror.js'
+export * from './writer.js'
--- /dev/null
+++ b/packages/store/src/mirror.ts
@@ -0,0 +1,150 @@
+import type { LogEntry } from '@heathroad/wire'
+import { Effect } from 'effect'
+import type { Failure, StoreClient, TooOld } from './client.js'
+import { ROOT } from './client.js'
+
+export interface Entry {
+	data: unknown
+	stamp: number
+}
+
+/** A copy of every key of the service, kept up to date by a watch and by catch-up reads. */
+export class Mirror {
+	readonly entries = new Map<string, Entry>()
+	/** Everything up to this epoch has been applied. -1: nothing has been read yet. */
+	epoch = -1
+	private waiting: ((ok: boolean) => void)[] = []
+	private reading = false
+
+	/** `changed` is told of every key whose content differs from what was known. */
+	constructor(private readonly changed: (key: string, entry: Entry | undefined) => void) {}
+
+	get(key: string): Entry | undefined {
+		return this.entries.get(key)
+	}
+
+	stamp(key: string): number {
+		return this.entries.get(key)?.stamp ?? 0
+	}
+
+	*under(prefix: string): Iterable<[string, Entry]> {
+		for (const e of this.entries) if (e[0].startsWith(prefix)) yield e
+	}
+
+	/** Our own write was confirmed: known before the watch tells it. */
+	wrote(key: string, data: unknown, stamp: number): void {
+		this.put(key, data, stamp)
+	}
+
+	private put(key: string, data: unknown, stamp: number): void {
+		const known = this.entries.get(key)
+		if (known !== undefined && known.stamp >= stamp) return
+		if (data === undefined) {
+			if (known === undefined) return
+			this.entries.delete(key)
+			this.changed(key, undefined)
+			return
+		}
+		const entry = { data, stamp }
+		this.entries.set(key, entry)
+		this.changed(key, entry)
+	}
+
+	/**
+	 * Applies a watch response. A watch and a catch-up read may overlap: what lies at or before our epoch was
+	 * applied already, and applying it again could bring a deleted key back.
+	 */
+	apply(epoch: number, log: readonly LogEntry[]): void {
+		const from = this.epoch
+		for (const e of log) {
+			if (e.stamp <= from || !e.key.startsWith(ROOT)) continue
+			this.put(e.key.slice(ROOT.length), e.data, e.stamp)
+		}
+		if (epoch > this.epoch) this.epoch = epoch
+	}
+
+	/** Replaces the content by a full read whose first page was taken at `epoch`. */
+	replace(epoch: number, all: readonly LogEntry[]): void {
+		const present = new Set<string>()
+		for (const e of all) {
+			const key = e.key.slice(ROOT.length)
+			present.add(key)
+			this.put(key, e.data, e.stamp)
+		}
+		for (const [key, entry] of [...this.entries])
+			if (!present.has(key) && entry.stamp <= epoch) {
+				this.entries.delete(key)
+				this.changed(key, undefined)
+			}
+		// Later pages may hold newer changes than the first; the watch tells them again, harmlessly.
+		this.epoch = Math.max(this.epoch, epoch)
+	}
+
+	load(client: StoreClient): Effect.Effect<void, Failure> {
+		return Effect.gen({ self: this }, function* () {
+			const all: LogEntry[] = []
+			let from: string | null = null
+			let first = -1
+			for (;;) {
+				const page: { entries: LogEntry[]; more: boolean; epoch: number } = yield* client.range(from)
+				if (first < 0) first = page.epoch
+				for (const e of page.entries) all.push(e)
+				if (!page.more || page.entries.length === 0) break
+				from = page.entries[page.entries.length - 1].key
+			}
+			this.replace(first, all)
+		})
+	}
+
+	/** Follows the service for ever. `gapMs` lets several changes share one answer. */
+	follow(client: StoreClient, blockMs: number, gapMs: number): Effect.Effect<never> {
+		const step = Effect.suspend(() =>
+			this.epoch < 0
+				? this.load(client)
+				: client.watch(this.epoch, blockMs).pipe(
+						Effect.map(({ epoch, log }) => this.apply(epoch, log)),
+						Effect.catchTag('TooOld', () => this.load(client)),
+					),
+		)
+		return step.pipe(
+			Effect.matchEffect({
+				onFailure: () => Effect.sleep(gapMs * 3),
+				onSuccess: () => Effect.sleep(gapMs),
+			}),
+			Effect.forever,
+		)
+	}
+
+	/**
+	 * True once a read begun after this call has been applied: whatever was durable before the call is then in
+	 * the mirror. Callers that arrive while a read is under way share the next one.
+	 */
+	fresh(client: StoreClient): Effect.Effect<boolean> {
+		return Effect.callback<boolean>((resume) => {
+			this.waiting.push((ok) => resume(Effect.succeed(ok)))
+			this.pump(client)
+		})
+	}
+
+	private pump(client: StoreClient): void {
+		if (this.reading || this.waiting.length === 0) return
+		this.reading = true
+		const asked = this.waiting
+		this.waiting = []
+		const read: Effect.Effect<void, Failure | TooOld> =
+			this.epoch < 0
+				? this.load(client)
+				: client.watch(this.epoch, 0).pipe(Effect.map(({ epoch, log }) => this.apply(epoch, log)))
+		Effect.runFork(
+			read.pipe(
+				Effect.catchTag('TooOld', () => this.load(client)),
+				Effect.match({ onFailure: () => false, onSuccess: () => true }),
+				Effect.map((ok) => {
+					this.reading = false
+					for (const tell of asked) tell(ok)
+					this.pump(client)
+				}),
+			),
+		)
+	}
+}
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,6 @@
+export * from './cloud.js'
+export * from './codec.js'
+export * from './http.js'
+export * from './jobs.js'
+export * from './state.js'
+export * from './workers.js'
