--- a/packages/controller/src/part.ts
+++ b/packages/controller/src/part.ts
@@ -733,7 +733,9 @@
 	private place(job: JobRun, m: Machine): void {
 		const task = job.ready.first()!
 		const spec = job.spec
-		const attempt = this.token * ATTEMPTS + ++this.attemptCounter
+		// The tasks of a gang find each other by their attempt: one number for all of them.
+		const joins = spec.kind === 'gang' && job.placed.size > 0
+		const attempt = this.token * ATTEMPTS + (joins ? this.attemptCounter : ++this.attemptCounter)
 		const name = `${spec.uid}/${task}`
 		job.ready.delete(task)
 		this.addAttempt(m, {
