--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -19,6 +19,16 @@
 		teams: Schema.Array(
 			Schema.Struct({ name, cpus: amount, cpus_max: amount, gpus: amount, gpus_max: amount }),
 		),
+		objectives: Schema.optional(
+			Schema.Array(
+				Schema.Struct({
+					kind: name,
+					class: Schema.optional(Schema.NullOr(name)),
+					within_s: Schema.optional(Schema.NullOr(amount)),
+					times: Schema.optional(Schema.NullOr(amount)),
+				}),
+			),
+		),
 		workers: Schema.Struct({
 			report_s: positive,
 			lease_s: positive,
--- a/packages/controller/src/model.ts
+++ b/packages/controller/src/model.ts
@@ -74,6 +74,8 @@
 	lastWrite = 0
 	notBefore = 0
 	failures = 0
+	/** see `orderRank` */
+	rank = 0
 	/** machines on which it failed */
 	avoid = new Set<string>()
 
@@ -94,6 +96,8 @@
 /** What a part needs from the world. All of it may fail or come late; nothing here blocks. */
 export interface Ports {
 	now(): number
+	/** time of day in ms, for ages that outlive an owner */
+	wallClock(): number
 	right(): 'grant' | 'promise' | 'none'
 	entry(key: string): Entry | undefined
 	under(prefix: string): Iterable<[string, Entry]>
--- a/packages/controller/src/part.ts
+++ b/packages/controller/src/part.ts
@@ -30,9 +30,11 @@
 	type Offer,
 	offerCost,
 	offerKey,
+	orderRank,
 	Ranges,
 	rank,
 	rentWeight,
+	startBounds,
 	type TeamLimit,
 	type Victim,
 	withinLimit,
@@ -659,12 +661,15 @@
 	private ordered(): JobRun[] {
 		if (this.queueDirty) {
 			this.queueDirty = false
+			const objectives = this.config.settings.deployment.objectives ?? []
 			this.queue = [...this.jobs.values()].filter((j) => !j.over && j.settled)
+			for (const j of this.queue) {
+				const ageS = (this.ports.wallClock() - j.at) / 1000
+				j.rank = orderRank(j.spec.priority, ageS, startBounds(j.spec, this.runS(j.spec), objectives))
+			}
 			this.queue.sort(
 				(a, b) =>
-					Number(this.entitled(b.spec)) - Number(this.entitled(a.spec)) ||
-					rank(b.spec.priority) - rank(a.spec.priority) ||
-					a.at - b.at,
+					Number(this.entitled(b.spec)) - Number(this.entitled(a.spec)) || b.rank - a.rank || a.at - b.at,
 			)
 		}
 		return this.queue
@@ -1142,6 +1147,7 @@
 				this.writeJob(job)
 		if (now - this.lastRentLook >= Math.min(1000, d.reportMs * 0.5)) {
 			this.lastRentLook = now
+			this.queueDirty = true
 			this.plan([...this.machines.values()])
 			this.preempt(now)
 			this.rent(now)
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -147,3 +147,36 @@
 	}
 	return fits(need, room) ? out : null
 }
+
+export interface Objective {
+	kind: string
+	class?: string | null
+	within_s?: number | null
+	times?: number | null
+}
+
+/** By what age of a job its tasks have to start for each of its class's objectives, given their run time. */
+export const startBounds = (
+	spec: Pick<JobSpec, 'jobClass' | 'dueS'>,
+	runS: number,
+	objectives: readonly Objective[],
+): number[] => {
+	const out: number[] = []
+	for (const o of objectives) {
+		if (o.class !== spec.jobClass) continue
+		if (o.kind === 'wait' && o.within_s) out.push(o.within_s)
+		else if (o.kind === 'finished' && o.within_s) out.push(o.within_s - runS)
+		else if (o.kind === 'deadline' && spec.dueS !== null) out.push(spec.dueS * (o.times ?? 1) - runS)
+	}
+	return out.filter((b) => b > 0)
+}
+
+/**
+ * The rank by which ready tasks are ordered: the job's priority, but halfway to a bound that can still be met
+ * a job of lower priority goes directly below urgent ones. Without this, low work starves on a full fleet.
+ */
+export const orderRank = (priority: Priority, ageS: number, bounds: readonly number[]): number => {
+	const own = rank(priority)
+	const lifted = rank('urgent') - 0.5
+	return own < lifted && bounds.some((b) => ageS >= b * 0.5 && ageS < b) ? lifted : own
+}
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -216,6 +216,7 @@
 		}
 		return {
 			now: this.now,
+			wallClock: () => Date.now(),
 			right: () => this.members.right(),
 			entry: (key) => this.mirror.get(key),
 			under: (prefix) => this.mirror.under(prefix),
