--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -46,9 +46,10 @@
 		readonly config: Config,
 		readonly log: Log,
 		readonly now: () => number = () => performance.now(),
+		caller?: Caller,
 	) {
 		const { settings, derived } = config
-		this.caller = makeCaller(Math.max(4, Math.floor(derived.sockets / 16)))
+		this.caller = caller ?? makeCaller(Math.max(4, Math.floor(derived.sockets / 16)))
 		const timeoutMs = derived.grantMs * 0.3
 		this.client = makeStoreClient(this.caller, settings.services.state, timeoutMs, (ok) => {
 			if (ok) this.stateOkAt = this.now()
@@ -82,6 +83,7 @@
 		this.users = new Users(this)
 	}
 
+	/** Listens on both addresses and begins. */
 	async start(): Promise<void> {
 		const { settings, derived } = this.config
 		const limits = { idleMs: derived.leaseMs * 2, requestMs: 5000, sockets: derived.sockets }
@@ -92,6 +94,12 @@
 				reply(body === null ? { status: 404 } : { status: 200, body })
 			}),
 		]
+		this.begin()
+	}
+
+	/** Everything but listening. */
+	begin(): void {
+		const { derived } = this.config
 		const gapMs = 3000 / derived.readsPerS
 		this.fibers = [
 			Effect.runFork(this.mirror.follow(this.client, derived.grantMs * 2, gapMs)),
@@ -267,7 +275,8 @@
 
 	// ---- HTTP ----
 
-	private face(call: Call, reply: Tell): void {
+	/** The face to users, workers and the balancer. */
+	face(call: Call, reply: Tell): void {
 		if (call.path === '/checkin') {
 			if (call.method !== 'POST') return reply({ status: 405 })
 			return this.checkin(call.body, reply)
--- /dev/null
+++ b/packages/testkit/src/rules.ts
@@ -0,0 +1,110 @@
+import type { JobSpec } from '@heathroad/wire'
+
+/** Watches the world, not the service, and writes down every broken rule of the protocol. */
+export class Rules {
+	readonly broken: string[] = []
+	/** task -> machines it is on */
+	private readonly on = new Map<string, Set<string>>()
+	private readonly jobs = new Map<
+		string,
+		{ spec: JobSpec; cancelAsked: boolean; told: string | null; toldAt: number }
+	>()
+	private readonly done = new Map<string, Set<number>>()
+	started = 0
+
+	constructor(
+		private readonly now: () => number,
+		private readonly cancelMs: number,
+		private readonly limits: ReadonlyMap<string, number>,
+	) {}
+
+	private say(rule: string, what: string): void {
+		this.broken.push(`${rule} at ${Math.round(this.now())} ms: ${what}`)
+	}
+
+	submitted(spec: JobSpec): void {
+		if (!this.jobs.has(spec.uid)) this.jobs.set(spec.uid, { spec, cancelAsked: false, told: null, toldAt: 0 })
+	}
+
+	cancelAsked(uid: string): void {
+		const job = this.jobs.get(uid)
+		if (job) job.cancelAsked = true
+	}
+
+	/** A task takes its place on a machine. */
+	placed(task: string, machine: string, type: string, zone: string, spot: boolean): void {
+		this.started++
+		const there = this.on.get(task) ?? new Set()
+		if (there.size > 0 && !there.has(machine))
+			this.say('ran_twice', `${task} on ${machine} and ${[...there]}`)
+		there.add(machine)
+		this.on.set(task, there)
+		const [uid] = task.split('/')
+		const job = this.jobs.get(uid)
+		if (job === undefined) return this.say('invented', `${task} was never submitted`)
+		const { spec } = job
+		const wrong =
+			(spec.types !== null && !spec.types.includes(type)) ||
+			(spec.zone !== null && spec.zone !== zone) ||
+			(spot && !spec.spot)
+		if (wrong) this.say('wrong_place', `${task} on ${type} in ${zone}`)
+		if (job.told === 'aborted' && this.now() - job.toldAt > this.cancelMs) this.say('ran_cancelled', task)
+		const limit = this.limits.get(spec.team)
+		if (limit === undefined) return
+		let used = 0
+		for (const [name, machines] of this.on)
+			if (machines.size > 0) {
+				const other = this.jobs.get(name.split('/')[0])
+				if (other?.spec.team === spec.team) used += other.spec.cpus
+			}
+		if (used > limit) this.say('quota', `${spec.team} uses ${used} of ${limit}`)
+	}
+
+	gone(task: string, machine: string): void {
+		this.on.get(task)?.delete(machine)
+	}
+
+	completed(task: string): void {
+		const [uid, n] = task.split('/')
+		const set = this.done.get(uid) ?? new Set()
+		set.add(Number(n))
+		this.done.set(uid, set)
+	}
+
+	/** Looks at what time alone can break. */
+	check(): void {
+		for (const [task, machines] of this.on) {
+			const job = this.jobs.get(task.split('/')[0])
+			if (machines.size > 0 && job?.told === 'aborted' && this.now() - job.toldAt > this.cancelMs)
+				this.say('ran_cancelled', `${task} on ${[...machines]}`)
+		}
+	}
+
+	/** What a user was told about a job. */
+	told(uid: string, status: number, state: string | null): void {
+		const job = this.jobs.get(uid)
+		if (job === undefined) {
+			if (status === 200) this.say('invented', `${uid} is called ${state}`)
+			return
+		}
+		if (status === 404 && job.told !== null) return this.say('forgotten', uid)
+		if (status !== 200 && status !== 201) return
+		const over = job.told === 'done' || job.told === 'aborted'
+		if (over && state !== job.told) return this.say('went_back', `${uid} was ${job.told}, now ${state}`)
+		if (state === 'aborted' && !job.cancelAsked) this.say('went_back', `${uid} is cancelled, nobody asked`)
+		if (state === 'done' && (this.done.get(uid)?.size ?? 0) < job.spec.tasks)
+			this.say('not_done', `${uid}: ${this.done.get(uid)?.size ?? 0} of ${job.spec.tasks}`)
+		if (!over) {
+			job.told = state
+			if (state === 'aborted') job.toldAt = this.now()
+		}
+	}
+
+	state(uid: string): string | null {
+		return this.jobs.get(uid)?.told ?? null
+	}
+
+	unfinished(): string[] {
+		return [...this.jobs].filter(([, j]) => j.told !== 'done' && j.told !== 'aborted').map(([uid]) => uid)
+	}
+}
--- /dev/null
+++ b/packages/testkit/src/standins.ts
@@ -0,0 +1,359 @@
+import { type Change, type Condition, isMap, type MachineType } from '@heathroad/wire'
+import type { VirtualClock } from './clock.js'
+import type { Rules } from './rules.js'
+
+export interface Response {
+	status: number
+	body: unknown
+}
+
+type Body = Record<string, unknown>
+const ok = (body: unknown): Response => ({ status: 200, body })
+const query = (path: string): URLSearchParams => new URLSearchParams(path.split('?')[1] ?? '')
+
+/** The state service: strongly consistent keys, grants, transactions and a watch. */
+export class StateStandIn {
+	private readonly keys = new Map<string, { data: unknown; stamp: number; grant: number | null }>()
+	private epoch = 0
+	private readonly log: { key: string; data: unknown; stamp: number }[] = []
+	private readonly grants = new Map<number, { lifeMs: number; until: number }>()
+	private lastGrant = 0
+	down = false
+
+	constructor(private readonly clock: VirtualClock) {
+		const sweep = () => {
+			if (!this.down) for (const [id, g] of [...this.grants]) if (g.until < clock.nowMs) this.end(id)
+			clock.after(50, sweep)
+		}
+		clock.after(0, sweep)
+	}
+
+	/** After an outage every grant has its full time again. */
+	recover(): void {
+		this.down = false
+		for (const g of this.grants.values()) g.until = this.clock.nowMs + g.lifeMs
+	}
+
+	private end(id: number): void {
+		this.grants.delete(id)
+		for (const [key, e] of [...this.keys])
+			if (e.grant === id) {
+				this.epoch++
+				this.keys.delete(key)
+				this.log.push({ key, data: undefined, stamp: this.epoch })
+			}
+	}
+
+	handle(method: string, path: string, body: unknown, reply: (r: Response) => void): void {
+		const route = path.split('?')[0]
+		if (route === '/watch')
+			return this.watch(path, this.clock.nowMs + Number(query(path).get('blockMs') ?? 0), reply)
+		if (this.down) return reply({ status: 503, body: {} })
+		if (route === '/txn' && isMap(body)) return reply(this.txn(body))
+		if (route === '/grants' && isMap(body)) {
+			const id = ++this.lastGrant
+			const lifeMs = Number(body.lifeMs)
+			this.grants.set(id, { lifeMs, until: this.clock.nowMs + lifeMs })
+			return reply(ok({ grant: id }))
+		}
+		const extend = /^\/grants\/(\d+)\/extend$/.exec(route)
+		if (extend !== null) {
+			const g = this.grants.get(Number(extend[1]))
+			if (g === undefined) return reply({ status: 404, body: {} })
+			g.until = this.clock.nowMs + g.lifeMs
+			return reply(ok({}))
+		}
+		if (method === 'GET' && route === '/store') {
+			const q = query(path)
+			const page = Number(q.get('page') ?? 500)
+			const all = [...this.keys.keys()]
+				.filter((k) => k.startsWith(q.get('under') ?? '') && k > (q.get('from') ?? ''))
+				.sort()
+			const entries = all.slice(0, page).map((key) => {
+				const e = this.keys.get(key)!
+				return { key, data: e.data, stamp: e.stamp }
+			})
+			return reply(ok({ entries, truncated: all.length > page, epoch: this.epoch }))
+		}
+		reply({ status: 400, body: {} })
+	}
+
+	private watch(path: string, until: number, reply: (r: Response) => void): void {
+		const from = Number(query(path).get('from'))
+		const blocks = query(path).get('blockMs') !== '0'
+		if (this.down && !blocks) return reply({ status: 503, body: {} })
+		const news = this.log.filter((e) => e.stamp > from)
+		if (!this.down && (news.length > 0 || this.clock.nowMs >= until)) {
+			const log = news.map((e) =>
+				e.data === undefined
+					? { delete: e.key, stamp: e.stamp }
+					: { set: e.key, data: e.data, stamp: e.stamp },
+			)
+			return reply(ok({ epoch: this.epoch, log }))
+		}
+		this.clock.after(20, () => this.watch(path, until, reply))
+	}
+
+	private txn(body: Body): Response {
+		const conditions = (body.if ?? []) as Condition[]
+		const changes = (body.apply ?? []) as Change[]
+		for (const c of changes)
+			if ('set' in c && c.grant !== undefined && !this.grants.has(c.grant))
+				return { status: 400, body: { error: 'no such lease' } }
+		const failed = conditions.filter((c) => (this.keys.get(c.key)?.stamp ?? 0) !== c.stamp).map((c) => c.key)
+		if (failed.length > 0) return { status: 409, body: { failed, epoch: this.epoch } }
+		if (changes.length > 0) this.epoch++
+		for (const c of changes) {
+			if ('set' in c) {
+				this.keys.set(c.set, { data: c.data, stamp: this.epoch, grant: c.grant ?? null })
+				this.log.push({ key: c.set, data: c.data, stamp: this.epoch })
+			} else if (this.keys.delete(c.delete))
+				this.log.push({ key: c.delete, data: undefined, stamp: this.epoch })
+		}
+		return ok({ epoch: this.epoch })
+	}
+}
+
+/** The cloud: rents by name, once; machines come up after a while, some never. */
+export class CloudStandIn {
+	private readonly rentals = new Map<string, string[]>()
+	private counter = 0
+	down = false
+
+	constructor(
+		private readonly clock: VirtualClock,
+		readonly types: readonly MachineType[],
+		private readonly capacity: Map<string, number>,
+		private readonly boot: (id: string, type: MachineType, zone: string, spot: boolean) => void,
+		private readonly remove: (id: string) => string | null,
+	) {}
+
+	handle(method: string, path: string, body: unknown): Response {
+		if (this.down) return { status: 503, body: { error: 'trouble' } }
+		if (path === '/catalog') {
+			const flavours = this.types.map((t) => ({
+				label: t.name,
+				cpus: t.cpus,
+				gpus: t.gpus,
+				ramGb: t.ramGb,
+				cacheGb: t.cacheGb,
+				fetchGbPerS: t.fetchGbPerS,
+				hourly: t.price,
+				spotPrice: t.spotPrice,
+				bootS: t.bootS,
+				sites: t.zones,
+			}))
+			return ok({ flavours })
+		}
+		if (method === 'POST' && path === '/hosts' && isMap(body)) {
+			const name = String(body.rental)
+			const known = this.rentals.get(name)
+			if (known !== undefined) return ok({ hosts: known })
+			const key = `${body.flavour}/${body.site}/${body.reclaimable}`
+			const room = this.capacity.get(key) ?? 0
+			if (room <= 0) return { status: 503, body: { error: 'no capacity' } }
+			const count = Math.min(room, Number(body.howMany))
+			this.capacity.set(key, room - count)
+			const type = this.types.find((t) => t.name === body.flavour)!
+			const hosts: string[] = []
+			for (let i = 0; i < count; i++) {
+				const id = `i-${String(this.counter++).padStart(6, '0')}`
+				hosts.push(id)
+				if (this.clock.random() < 0.03) continue
+				const ms = type.bootS * 1000 * this.clock.between(0.6, 1.5)
+				this.clock.after(ms, () => this.boot(id, type, String(body.site), body.reclaimable === true))
+			}
+			this.rentals.set(name, hosts)
+			return ok({ hosts })
+		}
+		if (path === '/hosts/release' && isMap(body)) {
+			for (const id of body.hosts as string[]) {
+				const key = this.remove(id)
+				if (key !== null) this.capacity.set(key, (this.capacity.get(key) ?? 0) + 1)
+			}
+			return ok({})
+		}
+		return { status: 400, body: {} }
+	}
+}
+
+interface StandInTask {
+	piece: string
+	attempt: number | bigint
+	status: string
+	cause: string | null
+	timer: { gone: boolean } | null
+}
+
+export interface WorkerWorld {
+	clock: VirtualClock
+	rules: Rules
+	reportMs: number
+	leaseMs: number
+	/** run time and image fetch of a task; null: the job is not known */
+	task(piece: string): { runMs: number; fetchMs: number; cpus: number } | null
+	send(
+		machine: string,
+		controller: string,
+		path: string,
+		body: unknown,
+		reply: (r: Response | null) => void,
+	): void
+	controllers: readonly string[]
+}
+
+/** One machine's worker, as the protocol describes it. */
+export class WorkerStandIn {
+	private tenure = 1
+	private counter = 0
+	private fence: number | bigint = 0
+	private readonly tasks = new Map<string, StandInTask>()
+	private readonly finished = new Set<string>()
+	private leaseFrom: number
+	private target = 0
+	private inFlight = false
+	private lastSent = Number.NEGATIVE_INFINITY
+	private changedSince = false
+	dead = false
+
+	constructor(
+		private readonly w: WorkerWorld,
+		readonly id: string,
+		readonly type: MachineType,
+		readonly zone: string,
+		readonly spot: boolean,
+	) {
+		this.leaseFrom = w.clock.nowMs
+		this.target = Math.floor(w.clock.random() * w.controllers.length)
+		this.loop()
+	}
+
+	private loop(): void {
+		if (this.dead) return
+		if (this.w.clock.nowMs - this.leaseFrom > this.w.leaseMs) {
+			for (const t of this.tasks.values()) this.leave(t)
+			this.tasks.clear()
+			this.tenure++
+			this.leaseFrom = this.w.clock.nowMs
+		}
+		const since = this.w.clock.nowMs - this.lastSent
+		if (!this.inFlight && (since >= this.w.reportMs || (this.changedSince && since >= 500))) this.report()
+		this.w.clock.after(100, () => this.loop())
+	}
+
+	private leave(t: StandInTask): void {
+		if (t.timer !== null) t.timer.gone = true
+		this.w.rules.gone(t.piece, this.id)
+	}
+
+	die(): void {
+		this.dead = true
+		for (const t of this.tasks.values()) this.leave(t)
+	}
+
+	private body(): Body {
+		return {
+			host: this.id,
+			addr: `${this.id}:1`,
+			flavour: this.type.name,
+			site: this.zone,
+			reclaimable: this.spot,
+			tenure: this.tenure,
+			counter: ++this.counter,
+			fence: this.fence,
+			warningS: null,
+			pieces: [...this.tasks.values()].map((t) => ({
+				piece: t.piece,
+				try: t.attempt,
+				status: t.status,
+				cause: t.cause,
+			})),
+		}
+	}
+
+	private report(): void {
+		this.inFlight = true
+		this.changedSince = false
+		this.lastSent = this.w.clock.nowMs
+		const sent = this.w.clock.nowMs
+		const tenure = this.tenure
+		let over = false
+		const next = (name: string | null) => {
+			const at = name === null ? -1 : this.w.controllers.indexOf(name)
+			this.target = at >= 0 ? at : (this.target + 1) % this.w.controllers.length
+			this.lastSent = this.w.clock.nowMs + 1000 - this.w.reportMs
+		}
+		const finish = (r: Response | null) => {
+			if (over) return
+			over = true
+			this.inFlight = false
+			if (r?.status === 200 && isMap(r.body)) {
+				const token = Number(r.body.fence)
+				if (tenure !== this.tenure || token < Number(this.fence)) return
+				if (token > Number(this.fence)) this.changedSince = true
+				this.fence = token
+				this.leaseFrom = sent
+				for (const o of r.body.orders as Body[]) this.execute(o)
+			} else next(r?.status === 421 && isMap(r.body) ? ((r.body.overseer as string) ?? null) : null)
+		}
+		this.w.send(this.id, this.w.controllers[this.target], '/checkin', this.body(), finish)
+		this.w.clock.after(4000, () => finish(null))
+	}
+
+	private execute(o: Body): void {
+		const key = `${o.piece}#${o.try}`
+		const t = this.tasks.get(key)
+		const piece = String(o.piece)
+		if (o.verb === 'forget') {
+			if (t?.status === 'ended') this.tasks.delete(key)
+		} else if (o.verb === 'kill') {
+			if (t !== undefined && t.status !== 'ended') this.exit(t, 'halted')
+		} else if (o.verb === 'start' && t === undefined) this.start(key, piece, o.try as number)
+	}
+
+	private start(key: string, piece: string, attempt: number | bigint): void {
+		const known = this.w.task(piece)
+		const t: StandInTask = { piece, attempt, status: 'pulling', cause: null, timer: null }
+		this.changedSince = true
+		const alive = [...this.tasks.values()].filter((o) => o.status !== 'ended')
+		const used = alive.reduce((n, o) => n + (this.w.task(o.piece)?.cpus ?? 0), 0)
+		this.tasks.set(key, t)
+		if (known === null) return this.refuse(t, 'no_such')
+		if (alive.some((o) => o.piece === piece)) return this.refuse(t, 'in_use')
+		if (used + known.cpus > this.type.cpus) return this.refuse(t, 'no_room')
+		t.timer = this.w.clock.after(known.fetchMs, () => {
+			t.status = 'running'
+			this.changedSince = true
+			this.w.rules.placed(piece, this.id, this.type.name, this.zone, this.spot)
+			t.timer = this.w.clock.after(this.finished.has(piece) ? 0 : known.runMs, () => {
+				this.finished.add(piece)
+				this.w.rules.completed(piece)
+				this.exit(t, 'done')
+			})
+		})
+	}
+
+	private refuse(t: StandInTask, cause: string): void {
+		t.status = 'ended'
+		t.cause = cause
+	}
+
+	private exit(t: StandInTask, cause: string): void {
+		this.leave(t)
+		t.status = 'ended'
+		t.cause = cause
+		this.changedSince = true
+	}
+
+	/** The worker's own address. */
+	handle(path: string, body: unknown): Response {
+		if (path !== '/commands' || !isMap(body) || body.fence === undefined || body.tenure === undefined)
+			return { status: path === '/inspect' ? 200 : 400, body: this.body() }
+		if (Number(body.fence) < Number(this.fence) || body.tenure !== this.tenure)
+			return { status: 409, body: this.body() }
+		if (Number(body.fence) > Number(this.fence)) this.changedSince = true
+		this.fence = Number(body.fence)
+		for (const o of body.orders as Body[]) this.execute(o)
+		return ok(this.body())
+	}
+}
--- /dev/null
+++ b/packages/testkit/src/world.ts
@@ -0,0 +1,385 @@
+import { checkSettings, derive } from '@heathroad/config'
+import { Service } from '@heathroad/server'
+import {
+	type Answer,
+	type Caller,
+	decode,
+	encode,
+	isMap,
+	type JobSpec,
+	type MachineType,
+	NoAnswer,
+	writeSubmission,
+} from '@heathroad/wire'
+import { Effect } from 'effect'
+import { VirtualClock } from './clock.js'
+import { Rules } from './rules.js'
+import { CloudStandIn, type Response, StateStandIn, WorkerStandIn } from './standins.js'
+
+export interface Trouble {
+	atS: number
+	kind: 'crash' | 'stateDown' | 'cloudDown' | 'cut' | 'machineDies' | 'machinesCut'
+	/** controllers, by number */
+	who?: readonly number[]
+	/** what a cut controller is cut from; everything if not given */
+	from?: 'state' | 'workers' | 'peers'
+	forS?: number
+}
+
+export interface Day {
+	seed: number
+	untilS: number
+	jobs: readonly { atS: number; spec: JobSpec; cancelAtS?: number }[]
+	troubles: readonly Trouble[]
+	/** share of messages lost on their way there or back, or delivered late */
+	loss?: number
+	limits?: ReadonlyMap<string, number>
+	report?: { reportS: number; leaseS: number; cancelS: number }
+}
+
+const TYPES: readonly MachineType[] = [
+	{
+		name: 'box',
+		cpus: 8,
+		gpus: 0,
+		ramGb: 32,
+		cacheGb: 20,
+		fetchGbPerS: 1,
+		price: 1,
+		spotPrice: 0.3,
+		bootS: 10,
+		zones: ['a', 'b'],
+	},
+]
+
+const NAMES = ['ctl-0', 'ctl-1', 'ctl-2']
+const address = (i: number, port: number): string => `10.0.0.${i + 1}:${port}`
+
+export const sweep = (uid: string, more: Partial<JobSpec> = {}): JobSpec => ({
+	uid,
+	jobClass: 'any',
+	team: 'core',
+	kind: 'sweep',
+	priority: 'normal',
+	tasks: 10,
+	cpus: 1,
+	gpus: 0,
+	ramGb: 1,
+	types: null,
+	zone: null,
+	samePlace: false,
+	apart: false,
+	spot: true,
+	image: 'img',
+	imageGb: 1,
+	expectedS: 10,
+	checkpointS: 0,
+	saveS: 0,
+	dueS: null,
+	...more,
+})
+
+/** Three controllers of the real service among stand-ins, for one day in virtual time. */
+export class World {
+	readonly clock: VirtualClock
+	readonly rules: Rules
+	readonly state: StateStandIn
+	readonly cloud: CloudStandIn
+	readonly workers = new Map<string, WorkerStandIn>()
+	private readonly nodes: (Service | null)[] = [null, null, null]
+	private readonly lives = [0, 0, 0]
+	private readonly cuts = new Map<number, Set<string>>()
+	/** machines without network; their tasks run on */
+	private readonly silent = new Set<string>()
+	private readonly specs = new Map<string, JobSpec>()
+	private readonly times: { reportS: number; leaseS: number; cancelS: number }
+
+	constructor(private readonly day: Day) {
+		this.clock = new VirtualClock(day.seed)
+		this.times = day.report ?? { reportS: 1, leaseS: 10, cancelS: 30 }
+		this.rules = new Rules(() => this.clock.nowMs, this.times.cancelS * 1000, day.limits ?? new Map())
+		this.state = new StateStandIn(this.clock)
+		const capacity = new Map(
+			['a', 'b'].flatMap((z) => [`box/${z}/true`, `box/${z}/false`].map((k) => [k, 4])),
+		)
+		this.cloud = new CloudStandIn(
+			this.clock,
+			TYPES,
+			capacity,
+			(id, type, zone, spot) => this.workers.set(id, this.worker(id, type, zone, spot)),
+			(id) => {
+				const w = this.workers.get(id)
+				w?.die()
+				this.workers.delete(id)
+				return w === undefined ? null : `${w.type.name}/${w.zone}/${w.spot}`
+			},
+		)
+	}
+
+	private worker(id: string, type: MachineType, zone: string, spot: boolean): WorkerStandIn {
+		return new WorkerStandIn(
+			{
+				clock: this.clock,
+				rules: this.rules,
+				reportMs: this.times.reportS * 1000,
+				leaseMs: this.times.leaseS * 1000,
+				controllers: NAMES,
+				task: (piece) => {
+					const spec = this.specs.get(piece.split('/')[0])
+					if (spec === undefined) return null
+					return {
+						runMs: spec.expectedS * this.clock.between(800, 1200),
+						fetchMs: spec.imageGb * 1000,
+						cpus: spec.cpus,
+					}
+				},
+				send: (machine, controller, path, body, reply) => {
+					const i = NAMES.indexOf(controller)
+					if (this.silent.has(machine)) return
+					this.deliver(['workers', String(i)], this.life(i), () => this.face(i, 'POST', path, body), reply)
+				},
+			},
+			id,
+			type,
+			zone,
+			spot,
+		)
+	}
+
+	private life(i: number): () => boolean {
+		const life = this.lives[i]
+		return () => this.nodes[i] !== null && this.lives[i] === life
+	}
+
+	private face(i: number, method: string, path: string, body: unknown): Promise<Response | null> {
+		const node = this.nodes[i]
+		if (node === null) return Promise.resolve(null)
+		const raw = body === undefined ? undefined : decode(encode(body))
+		return new Promise((done) =>
+			node.face({ method, path, body: raw }, (r) =>
+				done({ status: r.status, body: decode(encode(r.body ?? {})) }),
+			),
+		)
+	}
+
+	/** A message over an unreliable network: there and back, perhaps lost or late, never over a cut. */
+	private deliver(
+		over: [kind: string, node: string],
+		alive: () => boolean,
+		serve: () => Promise<Response | null>,
+		reply: (r: Response | null) => void,
+	): void {
+		const loss = this.day.loss ?? 0
+		const cut = () => this.cuts.get(Number(over[1]))?.has(over[0]) === true
+		const late = this.clock.random() < loss ? this.clock.between(1000, 20_000) : 0
+		this.clock.after(this.clock.between(1, 5) + late, () => {
+			if (cut() || this.clock.random() < loss || !alive()) return
+			void serve().then((r) => {
+				if (r === null || this.clock.random() < loss) return
+				this.clock.after(this.clock.between(1, 5), () => {
+					if (!cut() && alive()) reply(r)
+				})
+			})
+		})
+	}
+
+	private caller(i: number): Caller {
+		const life = this.life(i)
+		return {
+			call: (to, method, path, body, timeoutMs) =>
+				Effect.callback<Answer, NoAnswer>((resume) => {
+					const timer = setTimeout(
+						() => resume(Effect.fail(new NoAnswer({ reason: 'no answer' }))),
+						timeoutMs,
+					)
+					const answer = (r: Response | null) => {
+						if (r === null || !life()) return
+						clearTimeout(timer)
+						resume(Effect.succeed({ status: r.status, body: decode(encode(r.body)), retryAfter: null }))
+					}
+					const sent = body === undefined ? undefined : decode(encode(body))
+					if (to === 'state:1')
+						this.deliver(
+							['state', String(i)],
+							() => true,
+							() => new Promise((done) => this.state.handle(method, path, sent, done)),
+							answer,
+						)
+					else if (to === 'cloud:1')
+						this.deliver(
+							['cloud', String(i)],
+							() => true,
+							() => Promise.resolve(this.cloud.handle(method, path, sent)),
+							answer,
+						)
+					else if (to.startsWith('i-'))
+						this.deliver(
+							['workers', String(i)],
+							() => true,
+							() => {
+								const w = this.workers.get(to.split(':')[0])
+								const deaf = w === undefined || w.dead || this.silent.has(w.id)
+								return Promise.resolve(deaf ? null : w.handle(path, sent))
+							},
+							answer,
+						)
+					else {
+						const j = NAMES.findIndex((_, n) => address(n, 8081) === to)
+						if (this.cuts.get(j)?.has('peers')) return
+						this.deliver(
+							['peers', String(i)],
+							this.life(j),
+							() => {
+								const reply = this.nodes[j]?.members.answer(path, sent) ?? null
+								return Promise.resolve(reply === null ? null : { status: 200, body: reply })
+							},
+							answer,
+						)
+					}
+				}),
+		}
+	}
+
+	private boot(i: number): void {
+		const settings = checkSettings({
+			host_name: NAMES[i],
+			site: 'a',
+			bind: address(i, 8080),
+			internal_addr: address(i, 8081),
+			members: NAMES.map((n, j) => ({ host_name: n, site: 'a', peer_addr: address(j, 8081) })).filter(
+				(m) => m.host_name !== NAMES[i],
+			),
+			services: { cloud: '10.0.1.1:1', state: '10.0.1.2:1' },
+			deployment: {
+				zones: ['a', 'b'],
+				teams: [{ name: 'core', cpus: 0, gpus: 0, cpus_max: this.day.limits?.get('core') ?? 0, gpus_max: 0 }],
+				workers: { report_s: this.times.reportS, lease_s: this.times.leaseS, cancel_s: this.times.cancelS },
+				state: { rps: 200, write_rps: 15, value_kb: 8, txn_ops: 8 },
+				cloud: { rps: 4, list_lag_s: 3 },
+				resources: { cpu: 0.34, memory_mb: 146, fd_limit: 900 },
+			},
+		})
+		const config = {
+			settings: { ...settings, services: { cloud: 'cloud:1', state: 'state:1' } },
+			tuning: { idleReports: 6, progressReports: 3, budgetMix: 0.5 },
+			derived: derive(settings),
+		}
+		this.lives[i]++
+		const node = new Service(config, this.log(i), () => this.clock.nowMs, this.caller(i))
+		this.nodes[i] = node
+		node.begin()
+	}
+
+	readonly lines: string[] = []
+	private log(i: number) {
+		return (level: string, event: string, fields?: Record<string, unknown>) => {
+			if (level === 'debug') return
+			this.lines.push(`${Math.round(this.clock.nowMs)} ${NAMES[i]} ${event} ${JSON.stringify(fields ?? {})}`)
+			if (level === 'error') this.rules.broken.push(`error: ${event} ${JSON.stringify(fields)}`)
+		}
+	}
+
+	crash(i: number, backS: number): void {
+		const node = this.nodes[i]
+		this.nodes[i] = null
+		this.lives[i]++
+		void node?.stop()
+		this.clock.after(backS * 1000, () => this.boot(i))
+	}
+
+	/** A user asks any controller, again and again until the answer is final. */
+	private user(job: Day['jobs'][number]): void {
+		const { spec } = job
+		this.specs.set(spec.uid, spec)
+		let cancelling = false
+		const ask = (method: string, path: string, body: unknown, heard: (r: Response | null) => void) => {
+			const i = Math.floor(this.clock.random() * NAMES.length)
+			let over = false
+			const finish = (r: Response | null) => {
+				if (over) return
+				over = true
+				if (r !== null)
+					this.rules.told(spec.uid, r.status, isMap(r.body) ? ((r.body.status as string) ?? null) : null)
+				heard(r)
+			}
+			this.deliver(['users', String(i)], this.life(i), () => this.face(i, method, path, body), finish)
+			this.clock.after(4000, () => finish(null))
+		}
+		const poll = () => {
+			const state = this.rules.state(spec.uid)
+			if (state === 'done' || state === 'aborted') {
+				// Final states are asked for again, much later.
+				this.clock.after(20_000, () => ask('GET', `/v2/runs/${spec.uid}`, undefined, () => poll()))
+				return
+			}
+			ask('GET', `/v2/runs/${spec.uid}`, undefined, () => this.clock.after(3000, poll))
+		}
+		const cancel = () => {
+			if (!cancelling) this.rules.cancelAsked(spec.uid)
+			cancelling = true
+			ask('POST', `/v2/runs/${spec.uid}/withdraw`, {}, (r) => {
+				if (r?.status !== 200 && r?.status !== 404) this.clock.after(1000, cancel)
+			})
+		}
+		const submit = () => {
+			this.rules.submitted(spec)
+			ask('POST', '/v2/runs', writeSubmission(spec), (r) => {
+				if (r?.status === 200 || r?.status === 201) poll()
+				else this.clock.after(1000, submit)
+			})
+		}
+		this.clock.after(job.atS * 1000, submit)
+		if (job.cancelAtS !== undefined) this.clock.after(job.cancelAtS * 1000, cancel)
+	}
+
+	private trouble(t: Trouble): void {
+		const who = t.who ?? [0]
+		const forMs = (t.forS ?? 5) * 1000
+		if (t.kind === 'crash') for (const i of who) this.crash(i, t.forS ?? 5)
+		else if (t.kind === 'stateDown') {
+			this.state.down = true
+			this.clock.after(forMs, () => this.state.recover())
+		} else if (t.kind === 'cloudDown') {
+			this.cloud.down = true
+			this.clock.after(forMs, () => {
+				this.cloud.down = false
+			})
+		} else if (t.kind === 'machineDies') {
+			const alive = [...this.workers.values()].filter((w) => !w.dead)
+			alive[Math.floor(this.clock.random() * alive.length)]?.die()
+		} else if (t.kind === 'machinesCut') {
+			const cut = [...this.workers.keys()].filter((_, i) => i % 2 === 0)
+			for (const id of cut) this.silent.add(id)
+			this.clock.after(forMs, () => {
+				for (const id of cut) this.silent.delete(id)
+			})
+		} else
+			for (const i of who) {
+				const kinds = t.from === undefined ? ['state', 'cloud', 'workers', 'peers', 'users'] : [t.from]
+				this.cuts.set(i, new Set(kinds))
+				this.clock.after(forMs, () => this.cuts.delete(i))
+			}
+	}
+
+	async play(): Promise<void> {
+		await this.clock.run(this.day.untilS * 1000, () => {
+			for (let i = 0; i < NAMES.length; i++) this.clock.after(this.clock.between(0, 300), () => this.boot(i))
+			for (const job of this.day.jobs) this.user(job)
+			for (const t of this.day.troubles) this.clock.after(t.atS * 1000, () => this.trouble(t))
+			// Nobody submits this one: it must stay unknown.
+			const ghost = () => {
+				const i = Math.floor(this.clock.random() * NAMES.length)
+				this.deliver(
+					['users', String(i)],
+					this.life(i),
+					() => this.face(i, 'GET', '/v2/runs/job-999999', undefined),
+					(r) => this.rules.told('job-999999', r?.status ?? 0, null),
+				)
+				this.rules.check()
+				this.clock.after(1000, ghost)
+			}
+			ghost()
+		})
+		for (const node of this.nodes) void node?.stop()
+	}
+}
--- /dev/null
+++ b/tests/simulation.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { type Day, sweep, type Trouble, World } from '@heathroad/testkit'
+
+const jobs = (n: number, everyS = 4): Day['jobs'] =>
+	Array.from({ length: n }, (_, i) => ({
+		atS: 1 + i * everyS,
+		spec: sweep(`job-${String(i).padStart(6, '0')}`, {
+			tasks: 3 + ((i * 7) % 15),
+			image: `img-${i % 3}`,
+			priority: i % 4 === 0 ? 'urgent' : 'normal',
+			zone: i % 5 === 0 ? 'a' : null,
+			spot: i % 6 !== 0,
+			expectedS: 6 + (i % 4) * 5,
+		}),
+		cancelAtS: i % 7 === 3 ? 20 + i * everyS : undefined,
+	}))
+
+const cases: { name: string; troubles: Trouble[]; loss?: number; seeds: number[]; limit?: number }[] = [
+	{ name: 'a quiet day', troubles: [], seeds: [1, 2] },
+	{ name: 'lost and late messages', troubles: [], loss: 0.03, seeds: [3, 4] },
+	{
+		name: 'one, two and all controllers crash',
+		troubles: [
+			{ atS: 25, kind: 'crash', who: [0] },
+			{ atS: 45, kind: 'crash', who: [1, 2] },
+			{ atS: 70, kind: 'crash', who: [0, 1, 2] },
+		],
+		loss: 0.01,
+		seeds: [5, 6],
+	},
+	{
+		name: 'the state is down, also during a crash',
+		troubles: [
+			{ atS: 25, kind: 'stateDown', forS: 12 },
+			{ atS: 60, kind: 'stateDown', forS: 25 },
+			{ atS: 65, kind: 'crash', who: [1], forS: 8 },
+		],
+		loss: 0.01,
+		seeds: [7, 8],
+	},
+	{
+		name: 'controllers cut from everything, the state, the workers and their peers',
+		troubles: [
+			{ atS: 25, kind: 'cut', who: [0], forS: 20 },
+			{ atS: 50, kind: 'cut', who: [1], from: 'state', forS: 20 },
+			{ atS: 75, kind: 'cut', who: [2], from: 'workers', forS: 20 },
+			{ atS: 100, kind: 'cut', who: [0], from: 'peers', forS: 15 },
+		],
+		loss: 0.01,
+		seeds: [9, 10],
+	},
+	{
+		name: 'machines die while the cloud is down',
+		troubles: [
+			{ atS: 25, kind: 'machineDies' },
+			{ atS: 30, kind: 'cloudDown', forS: 20 },
+			{ atS: 32, kind: 'machineDies' },
+			{ atS: 34, kind: 'machineDies' },
+			{ atS: 40, kind: 'crash', who: [0, 1, 2] },
+		],
+		loss: 0.01,
+		seeds: [11, 12],
+	},
+	{
+		name: 'controllers crash while half of the machines cannot be reached',
+		troubles: [
+			{ atS: 30, kind: 'machinesCut', forS: 8 },
+			{ atS: 31, kind: 'crash', who: [0, 1], forS: 3 },
+			{ atS: 60, kind: 'machinesCut', forS: 25 },
+			{ atS: 62, kind: 'crash', who: [2], forS: 9 },
+		],
+		seeds: [14, 15],
+	},
+	{
+		name: "a team's limit, over a takeover",
+		troubles: [{ atS: 30, kind: 'crash', who: [0, 1] }],
+		seeds: [13],
+		limit: 12,
+	},
+]
+
+for (const c of cases)
+	for (const seed of c.seeds)
+		test(`the rules hold: ${c.name}, seed ${seed}`, async () => {
+			const world = new World({
+				seed,
+				untilS: 400,
+				jobs: jobs(16),
+				troubles: c.troubles,
+				loss: c.loss,
+				limits: c.limit === undefined ? undefined : new Map([['core', c.limit]]),
+			})
+			await world.play()
+			assert.deepEqual(world.rules.broken, [])
+			assert.ok(world.rules.started > 50, `only ${world.rules.started} tasks started`)
+			assert.deepEqual(world.rules.unfinished(), [], 'every job ends')
+		})
