Send new jobs to the part with the least work per CPU it has

Cause: parts were chosen by unfinished work alone, whatever capacity they had got. Conclusion: kept, since the design asks for the roomiest part and a part that lost its machines must not get an equal share.

--- a/packages/server/src/users.ts
+++ b/packages/server/src/users.ts
@@ -1,4 +1,4 @@
-import { asJob, hash, type JobRecord, jobKey } from '@heathroad/cluster'
+import { asJob, asMachine, hash, type JobRecord, jobKey } from '@heathroad/cluster'
 import { canEverRun, withinLimit } from '@heathroad/policy'
 import { ROOT, Urgency, type WriteResult } from '@heathroad/store'
 import { type JobAnswer, type JobSpec, type Reply, readSubmission } from '@heathroad/wire'
@@ -173,23 +173,34 @@
 		return null
 	}
 
-	/** The part with the least unfinished work. A team with a limit stays in one part, which then keeps it. */
+	/**
+	 * The roomiest part: the least unfinished work for the CPUs it has. A team with a limit stays in one part,
+	 * which then keeps it.
+	 */
 	private choosePart(spec: JobSpec): number {
 		const parts = this.s.config.derived.names.length
 		const team = this.s.config.settings.deployment.teams.find((t) => t.name === spec.team)
 		if (team !== undefined && (team.cpus_max > 0 || team.gpus_max > 0)) return hash(spec.team) % parts
-		const work = new Array<number>(parts).fill(0)
+		const types = this.s.catalog()
+		// A part without machines can rent one: it counts as having the largest.
+		const cpus = new Array<number>(parts).fill(Math.max(1, ...types.map((t) => t.cpus)))
+		for (const [, e] of this.s.mirror.under('machine/')) {
+			const m = asMachine(e.data)
+			if (m !== null && m.part < parts) cpus[m.part] += types.find((t) => t.name === m.type)?.cpus ?? 0
+		}
+		const amount = (s: JobSpec, tasks: number) => tasks * Math.max(0.1, s.cpus) * Math.max(1, s.expectedS)
+		const work = new Array<number>(parts).fill(amount(spec, spec.tasks))
 		for (const uid of this.s.open) {
 			const record = this.record(uid)
 			if (record?.spec === undefined || record.part >= parts) continue
 			let left = record.spec.tasks
 			const flat = record.done ?? []
 			for (let i = 0; i + 1 < flat.length; i += 2) left -= flat[i + 1] - flat[i]
-			work[record.part] += left * Math.max(0.1, record.spec.cpus) * Math.max(1, record.spec.expectedS)
+			work[record.part] += amount(record.spec, left)
 		}
 		// Ties are broken by the job's name, so that first jobs at several controllers spread.
 		let best = hash(spec.uid) % parts
-		for (let k = 0; k < parts; k++) if (work[k] < work[best]) best = k
+		for (let k = 0; k < parts; k++) if (work[k] / cpus[k] < work[best] / cpus[best]) best = k
 		return best
 	}
 }
