Break ties between machines by price, so that dear ones empty and go back

Cause: equal machines were told apart by fullness alone; ordinary ones, at three times the spot price, stayed busy to the end.

--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -82,15 +82,15 @@
 	image: boolean
 	seconds: number
 	cost: number
-	/** what stays free if it takes the task; the fuller machine wins a tie, so that empty ones can go back */
+	/** what is free on it */
 	slack: number
 }
 
-const faster = (a: Candidate, b: Candidate): Candidate =>
-	b.seconds < a.seconds - EPS ||
-	(b.seconds <= a.seconds + EPS && (b.slack < a.slack || (b.slack === a.slack && b.id < a.id)))
-		? b
-		: a
+/** Ties go to the cheaper machine, so that dear ones empty and go back, then to the fuller one. */
+const faster = (a: Candidate, b: Candidate): Candidate => {
+	const by = b.seconds - a.seconds || b.cost - a.cost || b.slack - a.slack
+	return by < 0 || (by === 0 && b.id < a.id) ? b : a
+}
 
 /**
  * Algorithm 2: the fastest machine within the share among those holding a parent's output, else among those
