--- a/packages/controller/src/part.ts
+++ b/packages/controller/src/part.ts
@@ -764,29 +764,50 @@
 
 	/** Makes room for waiting tasks of higher priority, or of a team within its guarantee. */
 	private preempt(now: number): void {
-		const patience = this.config.derived.reportMs * 3
+		// Room that earlier stops are about to give counts for those who wait, in their order.
+		let coming = 0
+		for (const m of this.machines.values())
+			for (const a of m.attempts.values())
+				if (a.stopGraceS !== null && a.state !== 'ended' && m.leaving === null) coming += a.need.cpus
+		const objectives = this.config.settings.deployment.objectives ?? []
 		for (const job of this.ordered()) {
 			const spec = job.spec
-			if (job.ready.size === 0 || job.over || now - job.lastWrite < patience) continue
+			if (job.ready.size === 0 || job.over || job.notBefore > now) continue
 			const entitled = this.entitled(spec)
 			if (rank(spec.priority) < rank('urgent') && !entitled) continue
-			for (const m of this.machines.values()) {
-				if (!this.usable(m, now) || !allowed(spec, m) || !zoneAllowed(spec, m.zone, job.zones)) continue
-				if ([...m.attempts.values()].some((a) => a.stopGraceS !== null && a.state !== 'ended')) continue
-				const running: (Victim & { a: Attempt })[] = []
-				for (const a of m.attempts.values())
-					if (a.state === 'running' && a.job !== null && a.job.spec.checkpointS > 0)
-						running.push({ key: a.key, priority: a.job.spec.priority, lostS: a.job.spec.saveS, ...a.need, a })
-				const victims = chooseVictims(spec, m.free, running, entitled, (t) => this.beyondGuarantee(t))
-				if (victims === null || victims.length === 0) continue
-				for (const v of victims) {
-					const a = m.attempts.get(v.key)!
-					a.stopGraceS = a.job!.spec.saveS * 1.5
-					this.ports.log('info', 'preempting', { task: a.name, machine: m.id, for: spec.uid })
-				}
-				return
+			// A quarter of the time in which its tasks should start is left to chance.
+			const bounds = startBounds(spec, this.runS(spec), objectives)
+			const patienceS =
+				bounds.length > 0 ? Math.min(...bounds) * 0.25 : (this.config.derived.reportMs * 3) / 1000
+			if (this.ports.wallClock() - job.at < patienceS * 1000) continue
+			coming -= job.ready.size * spec.cpus
+			if (coming >= 0) continue
+			if (this.preemptFor(job, entitled, now)) return
+		}
+	}
+
+	private preemptFor(job: JobRun, entitled: boolean, now: number): boolean {
+		const spec = job.spec
+		for (const m of this.machines.values()) {
+			if (!this.usable(m, now) || !allowed(spec, m) || !zoneAllowed(spec, m.zone, job.zones)) continue
+			const running: (Victim & { a: Attempt })[] = []
+			let stopping = false
+			for (const a of m.attempts.values()) {
+				if (a.stopGraceS !== null && a.state !== 'ended') stopping = true
+				if (a.state === 'running' && a.job !== null && a.job.spec.checkpointS > 0)
+					running.push({ key: a.key, priority: a.job.spec.priority, lostS: a.job.spec.saveS, ...a.need, a })
 			}
+			if (stopping) continue
+			const victims = chooseVictims(spec, m.free, running, entitled, (t) => this.beyondGuarantee(t))
+			if (victims === null || victims.length === 0) continue
+			for (const v of victims) {
+				const a = m.attempts.get(v.key)!
+				a.stopGraceS = a.job!.spec.saveS * 1.5
+				this.ports.log('info', 'preempting', { task: a.name, machine: m.id, for: spec.uid })
+			}
+			return true
 		}
+		return false
 	}
 
 	// ---- renting and returning ----
