--- a/packages/controller/src/model.ts
+++ b/packages/controller/src/model.ts
@@ -79,6 +79,8 @@
 	failures = 0
 	/** see `orderRank` */
 	rank = 0
+	/** by what ages its tasks have to start for its objectives */
+	bounds: readonly number[] = []
 	/** machines on which it failed */
 	avoid = new Set<string>()
 
--- a/packages/controller/src/part.ts
+++ b/packages/controller/src/part.ts
@@ -664,7 +664,8 @@
 			this.queue = [...this.jobs.values()].filter((j) => !j.over && j.settled)
 			for (const j of this.queue) {
 				const ageS = (this.ports.wallClock() - j.at) / 1000
-				j.rank = orderRank(j.spec.priority, ageS, startBounds(j.spec, this.runS(j.spec), objectives))
+				j.bounds = startBounds(j.spec, this.runS(j.spec), objectives)
+				j.rank = orderRank(j.spec.priority, ageS, j.bounds)
 			}
 			this.queue.sort(
 				(a, b) =>
@@ -769,16 +770,14 @@
 		for (const m of this.machines.values())
 			for (const a of m.attempts.values())
 				if (a.stopGraceS !== null && a.state !== 'ended' && m.leaving === null) coming += a.need.cpus
-		const objectives = this.config.settings.deployment.objectives ?? []
 		for (const job of this.ordered()) {
 			const spec = job.spec
 			if (job.ready.size === 0 || job.over || job.notBefore > now) continue
 			const entitled = this.entitled(spec)
 			if (rank(spec.priority) < rank('urgent') && !entitled) continue
 			// A quarter of the time in which its tasks should start is left to chance.
-			const bounds = startBounds(spec, this.runS(spec), objectives)
 			const patienceS =
-				bounds.length > 0 ? Math.min(...bounds) * 0.25 : (this.config.derived.reportMs * 3) / 1000
+				job.bounds.length > 0 ? Math.min(...job.bounds) * 0.25 : (this.config.derived.reportMs * 3) / 1000
 			if (this.ports.wallClock() - job.at < patienceS * 1000) continue
 			coming -= job.ready.size * spec.cpus
 			if (coming >= 0) continue
@@ -868,7 +867,7 @@
 				if (!fits(spec, s.type) || !allowed(spec, s)) continue
 				if (!zoneAllowed(spec, s.zone, job.zones)) continue
 				reachable = true
-				const each = this.rentShare(spec, runS, s.type)
+				const each = this.rentShare(job, runS, s.type)
 				const take = Math.min(tasks, Math.max(0, s.spare) / each)
 				s.spare -= take * each
 				tasks -= take
@@ -879,7 +878,7 @@
 			if (offer === undefined) continue
 			const key = offerKey(offer)
 			const want = wants.get(key) ?? { offer, machines: 0, forced: false }
-			want.machines += tasks * this.rentShare(spec, runS, offer.type)
+			want.machines += tasks * this.rentShare(job, runS, offer.type)
 			if (!reachable) want.forced = true
 			wants.set(key, want)
 		}
@@ -895,9 +894,11 @@
 	 * The part of a machine of this type that one waiting task asks to have rented. Urgent tasks do not wait in
 	 * line for a slot, and a gang's tasks all run at once: they ask for a whole one.
 	 */
-	private rentShare(spec: JobSpec, runS: number, type: MachineType): number {
+	private rentShare(job: JobRun, runS: number, type: MachineType): number {
+		const spec = job.spec
 		const whole = spec.kind === 'gang' || rank(spec.priority) >= rank('urgent')
-		const weight = whole ? 1 : rentWeight(runS, type.bootS)
+		const ageS = (this.ports.wallClock() - job.at) / 1000
+		const weight = whole ? 1 : rentWeight(runS, type.bootS, ageS, job.bounds)
 		return weight / Math.max(1, howMany(spec, type))
 	}
 
--- a/packages/policy/src/renting.ts
+++ b/packages/policy/src/renting.ts
@@ -29,10 +29,16 @@
 }
 
 /**
- * How much of a new machine's time one waiting task is worth: its run against boot and run together. A machine
- * rented for short tasks would serve several of them in the time that renting takes, so each asks for less.
+ * How much of a new machine's slot one waiting task asks for. Without bounds: its run against boot and run together,
+ * since a slot serves several short tasks in the time that renting takes. A bound by which the job's tasks have to
+ * start (`bounds`, as ages of the job) asks for more where a slot could not serve so many of them in time.
  */
-export const rentWeight = (runS: number, bootS: number): number => runS / Math.max(1e-6, runS + bootS)
+export const rentWeight = (runS: number, bootS: number, ageS = 0, bounds: readonly number[] = []): number => {
+	const run = Math.max(0.1, runS)
+	const plain = run / (run + bootS)
+	const left = Math.min(...bounds.filter((b) => b >= ageS + bootS)) - ageS - bootS
+	return Number.isFinite(left) ? Math.max(plain, 1 / (1 + left / run)) : plain
+}
 
 /** The offer for a batch: fastest within the share, near-ties by price; else the cheapest (design, "ours"). */
 export const chooseOffer = (
--- a/tests/placement.test.ts
+++ b/tests/placement.test.ts
@@ -11,6 +11,7 @@
 	type Offer,
 	orderRank,
 	rank,
+	rentWeight,
 	startBounds,
 	type Victim,
 	withinLimit,
@@ -193,3 +194,21 @@
 		assert.deepEqual(got === null ? null : got.map((x) => x.key), c.want, c.name)
 	}
 })
+
+test('how much of a slot a waiting task asks for', () => {
+	const cases = [
+		{ name: 'no bounds: run against boot and run', run: 20, boot: 20, age: 0, bounds: [], want: 0.5 },
+		{ name: 'a far bound changes nothing', run: 20, boot: 20, age: 0, bounds: [200], want: 0.5 },
+		{ name: 'a near bound: one slot serves two', run: 20, boot: 60, age: 0, bounds: [80], want: 0.5 },
+		{ name: 'waiting makes it ask for more', run: 20, boot: 60, age: 20, bounds: [80], want: 1 },
+		{
+			name: 'a bound that no new machine can meet does not count',
+			run: 20,
+			boot: 60,
+			age: 30,
+			bounds: [80],
+			want: 0.25,
+		},
+	]
+	for (const c of cases) assert.equal(rentWeight(c.run, c.boot, c.age, c.bounds), c.want, c.name)
+})
