--- a/packages/controller/src/part.ts
+++ b/packages/controller/src/part.ts
@@ -1192,11 +1192,24 @@
 			this.preempt(now)
 			this.rent(now)
 		}
-		if (!this.settled)
-			for (const id of this.unconfirmed) {
-				const m = this.machines.get(id)
-				if (m !== undefined) this.probe(m)
-			}
+		if (!this.settled) this.pressOn(now)
+	}
+
+	/**
+	 * Until every machine that may hold tasks is accounted for, none of the old jobs goes on. A few that neither
+	 * answer nor report are returned, which proves them empty sooner than their leases would; if it is many, it is
+	 * rather we who are cut off.
+	 */
+	private pressOn(now: number): void {
+		const missing = [...this.unconfirmed].map((id) => this.machines.get(id)!)
+		for (const m of missing) this.probe(m)
+		const late = now - this.takenAt > this.config.derived.reportMs * 3
+		const few = missing.length * 4 <= this.machines.size
+		if (!late || !few || this.ports.right() !== 'grant' || this.ports.cloudBusy()) return
+		const blocking = missing.filter((m) => !m.releasing)
+		if (blocking.length === 0) return
+		for (const m of blocking) m.leaving = 'unreachable after a takeover'
+		this.release(blocking)
 	}
 
 	/**
--- a/tests/simulation.test.ts
+++ b/tests/simulation.test.ts
@@ -121,3 +121,25 @@
 	for (const [line, n] of overs) assert.equal(n, 1, `${line} was said ${n} times`)
 	for (const [line, n] of seen) assert.ok(n <= 40, `${line} was said ${n} times`)
 })
+
+test('an unreachable machine does not hold a rebuild up for its whole lease (incident 3)', async () => {
+	const world = new World({
+		seed: 22,
+		untilS: 90,
+		jobs: jobs(14, 2),
+		report: { reportS: 1, leaseS: 20, cancelS: 60 },
+		troubles: [
+			{ atS: 40, kind: 'machineDies' },
+			{ atS: 41, kind: 'crash', who: [0, 1, 2], forS: 1 },
+		],
+	})
+	const rebuilt: number[] = []
+	world.tell = (line) => {
+		const at = /^(\d+) .* part is rebuilt .*"afterMs":(\d+)/.exec(line)
+		if (at !== null && Number(at[1]) > 41_000) rebuilt.push(Number(at[2]))
+	}
+	await world.play()
+	assert.deepEqual(world.rules.broken, [])
+	assert.ok(Math.max(...rebuilt) > 1000, 'the dead machine did hold one rebuild up')
+	assert.ok(Math.max(...rebuilt) < 10_000, `rebuilds took ${rebuilt} ms`)
+})
