--- /dev/null
+++ b/tests/http.test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict'
+import * as http from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { test } from 'node:test'
+import { checkSettings, derive } from '@heathroad/config'
+import { listen, Service } from '@heathroad/server'
+import { sweep } from '@heathroad/testkit'
+import { encode, NoAnswer, writeSubmission } from '@heathroad/wire'
+import { Effect } from 'effect'
+
+const settings = checkSettings({
+	host_name: 'c-0',
+	site: 'a',
+	bind: '127.0.0.1:8080',
+	internal_addr: '127.0.0.1:8081',
+	members: [],
+	services: { cloud: '127.0.0.1:1', state: '127.0.0.1:2' },
+	deployment: {
+		zones: ['a'],
+		teams: [{ name: 'core', cpus: 0, gpus: 0, cpus_max: 0, gpus_max: 0 }],
+		workers: { report_s: 1, lease_s: 10, cancel_s: 30 },
+		state: { rps: 200, write_rps: 15, value_kb: 8, txn_ops: 12 },
+		cloud: { rps: 2, list_lag_s: 3 },
+		resources: { cpu: 0.34, memory_mb: 146, fd_limit: 900 },
+	},
+})
+
+test('answers over HTTP while the state cannot be reached', async () => {
+	const config = {
+		settings,
+		tuning: { idleReports: 6, progressReports: 3, budgetMix: 0.5 },
+		derived: derive(settings),
+	}
+	const service = new Service(config, () => {}, undefined, {
+		call: () => Effect.fail(new NoAnswer({ reason: 'nobody there' })),
+	})
+	const limits = { idleMs: 1000, requestMs: 1000, sockets: 50 }
+	const server = await listen('127.0.0.1:0', limits, (call, reply) => service.face(call, reply))
+	const { port } = server.address() as AddressInfo
+	const ask = (method: string, path: string, body?: Buffer): Promise<http.IncomingMessage> =>
+		new Promise((resolve, reject) => {
+			const request = http.request({ port, method, path, agent: false }, (r) => resolve(r.resume()))
+			request.on('error', reject)
+			request.end(body)
+		})
+	const job = encode(writeSubmission(sweep('job-000412')))
+	const cases: [name: string, method: string, path: string, body: Buffer | undefined, status: number][] = [
+		['an unknown path', 'GET', '/v3/runs', undefined, 404],
+		['a path too long', 'GET', '/v2/runs/job-000001/withdraw/now', undefined, 404],
+		['a wrong method', 'PUT', '/v2/runs', job, 405],
+		['a report by GET', 'GET', '/checkin', undefined, 405],
+		['no MessagePack', 'POST', '/v2/runs', Buffer.from([0xc1]), 400],
+		['cut short', 'POST', '/v2/runs', job.subarray(0, 20), 400],
+		['over 64 KiB', 'POST', '/v2/runs', Buffer.alloc(70_000, 1), 400],
+		['a job while nothing is known', 'POST', '/v2/runs', job, 503],
+		['a status without a fresh read', 'GET', '/v2/runs/job-000412', undefined, 503],
+		['a cancellation without a fresh read', 'POST', '/v2/runs/job-000412/withdraw', undefined, 503],
+		['health', 'GET', '/healthz', undefined, 503],
+	]
+	try {
+		for (const [name, method, path, body, status] of cases) {
+			const r = await ask(method, path, body)
+			assert.equal(r.statusCode, status, name)
+			if (status === 503) assert.ok(Number(r.headers['retry-after']) >= 1, `${name}: says when to come back`)
+		}
+	} finally {
+		server.closeAllConnections()
+		server.close()
+		await service.stop()
+	}
+})
--- /dev/null
+++ b/tests/wire.test.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { sweep } from '@heathroad/testkit'
+import {
+	decode,
+	encode,
+	int,
+	readReport,
+	readSubmission,
+	writeOrders,
+	writeSubmission,
+} from '@heathroad/wire'
+
+const body = (more: Record<string, unknown> = {}) => ({ ...writeSubmission(sweep('job-000412')), ...more })
+
+test('submissions', () => {
+	const read = readSubmission(decode(encode(body({ future: 1 }))))
+	assert.deepEqual(read, sweep('job-000412'), 'unknown fields are ignored')
+	const without = body()
+	for (const field of ['flavours', 'site', 'dueS', 'gpus', 'samePlace'])
+		Reflect.deleteProperty(without, field)
+	assert.deepEqual(readSubmission(without), sweep('job-000412'), 'what may be null may be left out')
+	const bad: [string, unknown][] = [
+		['not a map', [1]],
+		['no uid', body({ uid: undefined })],
+		['a uid of another form', body({ uid: 'job-x' })],
+		['no tasks', body({ pieces: 0 })],
+		['too many tasks', body({ pieces: 100_001 })],
+		['half a task', body({ pieces: 1.5 })],
+		['a negative amount', body({ cpus: -1 })],
+		['an infinite amount', body({ ramGb: Number.POSITIVE_INFINITY })],
+		['an unknown shape', body({ shape: 'heap' })],
+		['an unknown urgency', body({ urgency: 'very' })],
+		['types that are no list', body({ flavours: 'g8' })],
+		['a flag that is none', body({ reclaimable: 'yes' })],
+	]
+	for (const [name, b] of bad) assert.equal(typeof readSubmission(b), 'string', name)
+})
+
+test('integers up to 2^64 survive, and nothing but plain MessagePack goes out', () => {
+	const large = 2n ** 64n - 1n
+	const report = readReport(
+		decode(
+			encode({
+				host: 'i-000001',
+				addr: '10.1.0.1:9000',
+				flavour: 'g8',
+				site: 'a',
+				reclaimable: true,
+				tenure: 1,
+				counter: large,
+				fence: 2n ** 53n + 1n,
+				warningS: null,
+				pieces: [{ piece: 'job-000412/3', try: large, status: 'ended', cause: 'done' }],
+			}),
+		),
+	)
+	assert.equal(report?.counter, large)
+	assert.equal(report?.tasks[0].attempt, large)
+	const out = encode(writeOrders(7, [{ verb: 'start', name: 'job-000412/3', attempt: 5 * 2 ** 40 }]))
+	assert.equal(out.includes(0xcb), false, 'a large integer is not written as a float')
+	for (const ext of [0xc7, 0xc8, 0xc9, 0xd4, 0xd5, 0xd6, 0xd7, 0xd8])
+		assert.equal(encode({ a: undefined, b: [1, null] }).includes(ext), false, 'no extension types')
+	assert.equal(int(5), 5)
+})
+
+test('reports that are none', () => {
+	const good = { host: 'i-1', addr: 'x:1', flavour: 'g', site: 'a', tenure: 1, counter: 1, fence: 0 }
+	assert.ok(readReport(good))
+	const bad: [string, unknown][] = [
+		['no machine', { ...good, host: undefined }],
+		['a negative counter', { ...good, counter: -1 }],
+		['tasks that are no list', { ...good, pieces: {} }],
+		['a task without an attempt', { ...good, pieces: [{ piece: 'job-000001/1', status: 'running' }] }],
+		['a task without a number', { ...good, pieces: [{ piece: 'job-000001', try: 1, status: 'running' }] }],
+	]
+	for (const [name, b] of bad) assert.equal(readReport(b), null, name)
+})
