--- a/packages/cloud/src/index.ts
+++ b/packages/cloud/src/index.ts
@@ -1,5 +1,5 @@
-import type { Caller, ListedMachine, MachineType } from '@heathroad/wire'
-import { isMap, readCatalog, readHosts, readMachineList } from '@heathroad/wire'
+import type { Caller, MachineType } from '@heathroad/wire'
+import { isMap, readCatalog, readHosts } from '@heathroad/wire'
 import { Effect } from 'effect'
 
 export interface RentalRequest {
@@ -90,10 +90,4 @@
 			Effect.map((a) => a !== null && a.status === 200),
 		)
 	}
-
-	list(from: string): Effect.Effect<{ machines: ListedMachine[]; more: boolean } | null> {
-		return this.call('GET', `/hosts?from=${from}&page=500`, undefined).pipe(
-			Effect.map((a) => (a !== null && a.status === 200 ? readMachineList(a.body) : null)),
-		)
-	}
 }
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -105,7 +105,6 @@
 	/** All controllers, sorted: part number K is at home at names[K]. */
 	names: string[]
 	self: string
-	zone: string
 	peers: { name: string; address: string }[]
 	reportMs: number
 	/** A worker's lease, stretched by what two clocks can drift apart and a margin for late timers. */
@@ -141,7 +140,6 @@
 	return {
 		names,
 		self: s.host_name,
-		zone: s.site,
 		peers: s.members.map((m) => ({ name: m.host_name, address: m.peer_addr })),
 		reportMs: w.report_s * 1000,
 		leaseMs: w.lease_s * 1000 * 1.002 + 300,
--- a/packages/policy/src/ranges.ts
+++ b/packages/policy/src/ranges.ts
@@ -69,17 +69,6 @@
 		return this.flat[0]
 	}
 
-	/** The first member that `accept` agrees to, looking at no more than `limit` of them. */
-	find(accept: (n: number) => boolean, limit = 64): number | undefined {
-		let seen = 0
-		for (let i = 0; i < this.flat.length; i += 2)
-			for (let n = this.flat[i]; n < this.flat[i + 1]; n++) {
-				if (accept(n)) return n
-				if (++seen >= limit) return undefined
-			}
-		return undefined
-	}
-
 	pairs(): readonly number[] {
 		return this.flat
 	}
--- a/packages/wire/src/cloud.ts
+++ b/packages/wire/src/cloud.ts
@@ -41,25 +41,3 @@
 	isMap(body) && Array.isArray(body.hosts)
 		? body.hosts.filter((h): h is string => typeof h === 'string')
 		: null
-
-export interface ListedMachine {
-	id: string
-	type: string
-	zone: string
-	spot: boolean
-	status: string
-	ageS: number
-}
-
-export const readMachineList = (body: unknown): { machines: ListedMachine[]; more: boolean } | null => {
-	if (!isMap(body) || !Array.isArray(body.hosts)) return null
-	const machines = body.hosts.filter(isMap).map((h) => ({
-		id: String(h.uid),
-		type: String(h.flavour),
-		zone: String(h.site),
-		spot: h.reclaimable === true,
-		status: String(h.status),
-		ageS: num(h.heldS, 0),
-	}))
-	return { machines, more: body.truncated === true }
-}
