--- a/packages/testkit/src/standins.ts
+++ b/packages/testkit/src/standins.ts
@@ -191,7 +191,7 @@
 	reportMs: number
 	leaseMs: number
 	/** run time and image fetch of a task; null: the job is not known */
-	task(piece: string): { runMs: number; fetchMs: number; cpus: number } | null
+	task(piece: string): { runMs: number; fetchMs: number; cpus: number; fails: boolean } | null
 	send(
 		machine: string,
 		controller: string,
@@ -215,6 +215,8 @@
 	private lastSent = Number.NEGATIVE_INFINITY
 	private changedSince = false
 	dead = false
+	/** every task on it fails */
+	faulty = false
 
 	constructor(
 		private readonly w: WorkerWorld,
@@ -326,6 +328,7 @@
 			this.changedSince = true
 			this.w.rules.placed(piece, this.id, this.type.name, this.zone, this.spot)
 			t.timer = this.w.clock.after(this.finished.has(piece) ? 0 : known.runMs, () => {
+				if (this.faulty || known.fails) return this.exit(t, 'error')
 				this.finished.add(piece)
 				this.w.rules.completed(piece)
 				this.exit(t, 'done')
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -19,7 +19,7 @@
 
 export interface Trouble {
 	atS: number
-	kind: 'crash' | 'stateDown' | 'cloudDown' | 'cut' | 'machineDies' | 'machinesCut'
+	kind: 'crash' | 'stateDown' | 'cloudDown' | 'cut' | 'machineDies' | 'machinesCut' | 'machineFaulty'
 	/** controllers, by number */
 	who?: readonly number[]
 	/** what a cut controller is cut from; everything if not given */
@@ -135,6 +135,7 @@
 						runMs: spec.expectedS * this.clock.between(800, 1200),
 						fetchMs: spec.imageGb * 1000,
 						cpus: spec.cpus,
+						fails: spec.jobClass === 'broken',
 					}
 				},
 				send: (machine, controller, path, body, reply) => {
@@ -361,6 +362,10 @@
 		} else if (t.kind === 'machineDies') {
 			const alive = [...this.workers.values()].filter((w) => !w.dead)
 			alive[Math.floor(this.clock.random() * alive.length)]?.die()
+		} else if (t.kind === 'machineFaulty') {
+			const alive = [...this.workers.values()].filter((w) => !w.dead)
+			const one = alive[Math.floor(this.clock.random() * alive.length)]
+			if (one !== undefined) one.faulty = true
 		} else if (t.kind === 'machinesCut') {
 			const cut = [...this.workers.keys()].filter((_, i) => i % 2 === 0)
 			for (const id of cut) this.silent.add(id)
--- a/tests/simulation.test.ts
+++ b/tests/simulation.test.ts
@@ -143,3 +143,25 @@
 	assert.ok(Math.max(...rebuilt) > 1000, 'the dead machine did hold one rebuild up')
 	assert.ok(Math.max(...rebuilt) < 10_000, `rebuilds took ${rebuilt} ms`)
 })
+
+test('a faulty machine is drained, and a job that fails everywhere is paced and harms nobody', async () => {
+	const broken = sweep('job-000900', { jobClass: 'broken', tasks: 5, expectedS: 1 })
+	const world = new World({
+		seed: 23,
+		untilS: 400,
+		jobs: [...jobs(12), { atS: 20, spec: broken, cancelAtS: 150 }],
+		troubles: [{ atS: 40, kind: 'machineFaulty' }],
+	})
+	const drained = new Set<string>()
+	let failed = 0
+	world.tell = (line) => {
+		const at = /draining a faulty machine .*"machine":"([^"]+)"/.exec(line)
+		if (at !== null) drained.add(at[1])
+		if (line.includes('task failed') && line.includes('job-000900')) failed++
+	}
+	await world.play()
+	assert.deepEqual(world.rules.broken, [])
+	assert.deepEqual(world.rules.unfinished(), [], 'every job ends')
+	assert.ok(drained.size >= 1 && drained.size <= 4, `drained ${[...drained]}`)
+	assert.ok(failed >= 5 && failed < 150, `the broken job failed ${failed} times in 130 s`)
+})
