--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -261,10 +261,6 @@
 		return this.parts.get(k)
 	}
 
-	ownedParts(): Iterable<Part> {
-		return this.parts.values()
-	}
-
 	/** True once everything durable before the call is in the mirror; false if that takes too long. */
 	fresh(): Effect.Effect<boolean> {
 		return this.mirror.fresh(this.client).pipe(
--- a/packages/server/src/users.ts
+++ b/packages/server/src/users.ts
@@ -15,6 +15,14 @@
 const unknownPath: Reply = { status: 404, body: { error: 'no such path' } }
 const wrongMethod: Reply = { status: 405, body: { error: 'method not allowed' } }
 
+/** Tasks that an unfinished job's own record calls done. */
+const recordedDone = (record: JobRecord): number => {
+	const flat = record.done ?? []
+	let count = 0
+	for (let i = 0; i + 1 < flat.length; i += 2) count += flat[i + 1] - flat[i]
+	return count
+}
+
 /** The users' interface: what is told here is durable, and no older than a read begun after the question. */
 export class Users {
 	private readonly accepting = new Map<string, Tell[]>()
@@ -48,8 +56,7 @@
 			body.done = job.done.size
 			body.running = job.runningCount()
 		} else {
-			const flat = record.done ?? []
-			for (let i = 0; i + 1 < flat.length; i += 2) body.done! += flat[i + 1] - flat[i]
+			body.done = recordedDone(record)
 			const owner = this.s.members.peers.find((p) => p.name === this.s.ownerName(record.part))
 			body.running = Number(owner?.news?.running[uid] ?? 0)
 		}
@@ -193,10 +200,7 @@
 		for (const uid of this.s.open) {
 			const record = this.record(uid)
 			if (record?.spec === undefined || record.part >= parts) continue
-			let left = record.spec.tasks
-			const flat = record.done ?? []
-			for (let i = 0; i + 1 < flat.length; i += 2) left -= flat[i + 1] - flat[i]
-			work[record.part] += amount(record.spec, left)
+			work[record.part] += amount(record.spec, record.spec.tasks - recordedDone(record))
 		}
 		// Ties are broken by the job's name, so that first jobs at several controllers spread.
 		let best = hash(spec.uid) % parts
