Read pages of any prefix and share turns of reads

Need: what is not mirrored has to be read on demand, within the requests that questions have. Change: the client reads pages under any prefix, turns of reads are handed out by one Pace, a full read leaves out what is not wanted page by page; the stand-in keeps its keys in order, answers 410 and limits a page to 512 KiB.

--- a/packages/store/src/client.ts
+++ b/packages/store/src/client.ts
@@ -15,13 +15,25 @@
 /** All keys of the service share one root, so that one watch sees every change in order. */
 export const ROOT = 'heathroad/'
 
+export interface Page {
+	entries: LogEntry[]
+	more: boolean
+	epoch: number
+}
+
 export interface StoreClient {
 	txn(
 		conditions: readonly Condition[],
 		changes: readonly Change[],
 	): Effect.Effect<TxnResult, Failure | GrantOver>
-	range(from: string | null): Effect.Effect<{ entries: LogEntry[]; more: boolean; epoch: number }, Failure>
-	watch(from: number, blockMs: number): Effect.Effect<{ epoch: number; log: LogEntry[] }, Failure | TooOld>
+	/** Keys under a prefix in their order, from behind one on, as many as asked for, at most 1,000 and 512 KiB. */
+	page(under: string, from: string | null, size: number): Effect.Effect<Page, Failure>
+	/** Changes behind an epoch, under a prefix; the service's own keys if none is given. */
+	watch(
+		from: number,
+		blockMs: number,
+		under?: string,
+	): Effect.Effect<{ epoch: number; log: LogEntry[] }, Failure | TooOld>
 	grant(lifeMs: number): Effect.Effect<number, Failure>
 	extend(grant: number): Effect.Effect<void, Failure | GrantOver>
 }
@@ -58,19 +70,19 @@
 					return unreadable(status)
 				}),
 			),
-		range: (from) => {
+		page: (under, from, size) => {
 			const after = from === null ? '' : `&from=${from}`
-			return call('GET', `/store?under=${ROOT}${after}&page=500`, undefined, timeoutMs * 2).pipe(
+			return call('GET', `/store?under=${under}${after}&page=${size}`, undefined, timeoutMs * 2).pipe(
 				Effect.flatMap(({ status, body }) => {
 					const page = status === 200 ? readRange(body) : null
 					return page === null ? unreadable(status) : Effect.succeed(page)
 				}),
 			)
 		},
-		watch: (from, blockMs) =>
+		watch: (from, blockMs, under = ROOT) =>
 			call(
 				'GET',
-				`/watch?under=${ROOT}&from=${from}&blockMs=${blockMs}`,
+				`/watch?under=${under}&from=${from}&blockMs=${blockMs}`,
 				undefined,
 				blockMs + timeoutMs,
 			).pipe(
--- a/packages/store/src/mirror.ts
+++ b/packages/store/src/mirror.ts
@@ -1,7 +1,11 @@
 import type { LogEntry } from '@heathroad/wire'
 import { Effect } from 'effect'
-import type { Failure, StoreClient, TooOld } from './client.js'
+import type { Failure, Page, StoreClient, TooOld } from './client.js'
 import { ROOT } from './client.js'
+import { Pace } from './pace.js'
+
+/** Keys that one request of a full read asks for: the most that one answer holds. */
+const PAGE = 1000
 
 export interface Entry {
 	data: unknown
@@ -17,7 +21,12 @@
 	onAdvance: () => void = () => {}
 	private waiting: ((ok: boolean) => void)[] = []
 	private reading = false
-	private lastRead = Number.NEGATIVE_INFINITY
+	/** turns of reads for questions, which others that read for questions share */
+	readonly pace: Pace
+	/** Is a key of a full read kept? What changes later is kept in any case. */
+	wants: (key: string, data: unknown) => boolean = () => true
+	/** called before a full read is applied: changes in between may never be told */
+	onReload: (epoch: number) => void = () => {}
 
 	/**
 	 * `changed` is told of every key whose content differs from what was known, and what that was. Reads for questions
@@ -27,8 +36,10 @@
 	constructor(
 		private readonly changed: (key: string, entry: Entry | undefined, before: Entry | undefined) => void,
 		private readonly gapMs: number,
-		private readonly now: () => number,
-	) {}
+		now: () => number,
+	) {
+		this.pace = new Pace(gapMs, now)
+	}
 
 	get(key: string): Entry | undefined {
 		return this.entries.get(key)
@@ -107,14 +118,19 @@
 			let first = -1
 			let last = -1
 			for (;;) {
-				const page: { entries: LogEntry[]; more: boolean; epoch: number } = yield* client.range(from)
+				const page: Page = yield* client.page(ROOT, from, PAGE)
 				if (first < 0) first = page.epoch
 				last = page.epoch
-				for (const e of page.entries) all.push(e)
+				// What is not wanted never takes memory beyond its page, however much of it there is.
+				for (const e of page.entries) {
+					const key = e.key.slice(ROOT.length)
+					if (this.wants(key, e.data) || this.entries.has(key)) all.push(e)
+				}
 				if (!page.more || page.entries.length === 0) break
 				from = page.entries[page.entries.length - 1].key
 			}
 			const news = last > first ? yield* client.watch(first, 0) : null
+			this.onReload(first)
 			this.replace(first, all)
 			if (news !== null) this.apply(news.epoch, news.log)
 		})
@@ -153,15 +169,15 @@
 	private pump(client: StoreClient): void {
 		if (this.reading || this.waiting.length === 0) return
 		this.reading = true
-		const pause = Math.max(0, this.lastRead + this.gapMs - this.now())
-		Effect.runFork(Effect.sleep(pause).pipe(Effect.andThen(Effect.suspend(() => this.read(client)))))
+		Effect.runFork(
+			Effect.sleep(this.pace.take()).pipe(Effect.andThen(Effect.suspend(() => this.read(client)))),
+		)
 	}
 
 	/** One read for all who wait by now. */
 	private read(client: StoreClient): Effect.Effect<void> {
 		const asked = this.waiting
 		this.waiting = []
-		this.lastRead = this.now()
 		const read: Effect.Effect<void, Failure | TooOld> =
 			this.epoch < 0
 				? this.load(client)
--- a/packages/testkit/src/standins.ts
+++ b/packages/testkit/src/standins.ts
@@ -14,7 +14,11 @@
 /** The state service: strongly consistent keys, grants, transactions and a watch. */
 export class StateStandIn {
 	private readonly keys = new Map<string, { data: unknown; stamp: number; grant: number | null }>()
+	/** the keys in order; null: to be sorted anew */
+	private order: string[] | null = null
 	private epoch = 0
+	/** epoch up to which changes are no longer kept */
+	private forgotten = 0
 	private readonly log: { key: string; data: unknown; stamp: number }[] = []
 	private readonly grants = new Map<number, { lifeMs: number; until: number }>()
 	private lastGrant = 0
@@ -23,8 +27,14 @@
 	requests = 0
 	/** called with every key as it becomes durable */
 	durable: (key: string, data: unknown) => void = () => {}
+	/** called with every key that is set or deleted */
+	changed: (key: string) => void = () => {}
 
-	constructor(private readonly clock: Clock) {
+	/** `keeps`: how many changes are kept for watches */
+	constructor(
+		private readonly clock: Clock,
+		private readonly keeps = Number.POSITIVE_INFINITY,
+	) {
 		const sweep = () => {
 			if (!this.down) for (const [id, g] of [...this.grants]) if (g.until < clock.nowMs) this.end(id)
 			clock.after(50, sweep)
@@ -45,13 +55,47 @@
 		return { set: all.length - deleted, deleted }
 	}
 
+	/** A key as it was before the day. */
+	put(key: string, data: unknown): void {
+		this.keys.set(key, { data, stamp: ++this.epoch, grant: null })
+		this.forgotten = this.epoch
+		this.order = null
+	}
+
+	/** How many keys there are under a prefix. */
+	count(under: string): number {
+		return [...this.keys.keys()].filter((k) => k.startsWith(under)).length
+	}
+
+	private tell(e: { key: string; data: unknown; stamp: number }): void {
+		this.changed(e.key)
+		this.log.push(e)
+		if (this.log.length <= this.keeps * 1.25) return
+		const gone = this.log.splice(0, this.log.length - this.keeps)
+		this.forgotten = gone[gone.length - 1].stamp
+	}
+
+	/** Keys in order: the first of them that lies behind a text. */
+	private behind(text: string): number {
+		this.order ??= [...this.keys.keys()].sort()
+		let from = 0
+		let to = this.order.length
+		while (from < to) {
+			const middle = (from + to) >> 1
+			if (this.order[middle] > text) to = middle
+			else from = middle + 1
+		}
+		return from
+	}
+
 	private end(id: number): void {
 		this.grants.delete(id)
 		for (const [key, e] of [...this.keys])
 			if (e.grant === id) {
 				this.epoch++
 				this.keys.delete(key)
-				this.log.push({ key, data: undefined, stamp: this.epoch })
+				this.order = null
+				this.tell({ key, data: undefined, stamp: this.epoch })
 			}
 	}
 
@@ -78,14 +122,25 @@
 		if (method === 'GET' && route === '/store') {
 			const q = query(path)
 			const page = Number(q.get('page') ?? 500)
-			const all = [...this.keys.keys()]
-				.filter((k) => k.startsWith(q.get('under') ?? '') && k > (q.get('from') ?? ''))
-				.sort()
-			const entries = all.slice(0, page).map((key) => {
+			const under = q.get('under') ?? ''
+			const after = q.get('from') ?? ''
+			const entries: { key: string; data: unknown; stamp: number }[] = []
+			// From the prefix on, or from behind a key below it.
+			let start = under
+			if (after > under) start = after
+			let at = this.behind(start)
+			// A key that is the prefix itself is under it too.
+			if (after <= under && this.order![at - 1] === under && after < under) at--
+			let room = 512 * 1024
+			for (; at < this.order!.length && this.order![at].startsWith(under); at++) {
+				const key = this.order![at]
 				const e = this.keys.get(key)!
-				return { key, data: e.data, stamp: e.stamp }
-			})
-			return reply(ok({ entries, truncated: all.length > page, epoch: this.epoch }))
+				room -= key.length + JSON.stringify(e.data).length + 40
+				if (entries.length >= page || (room < 0 && entries.length > 0))
+					return reply(ok({ entries, truncated: true, epoch: this.epoch }))
+				entries.push({ key, data: e.data, stamp: e.stamp })
+			}
+			return reply(ok({ entries, truncated: false, epoch: this.epoch }))
 		}
 		reply({ status: 400, body: {} })
 	}
@@ -94,7 +149,11 @@
 		const from = Number(query(path).get('from'))
 		const blocks = query(path).get('blockMs') !== '0'
 		if (this.down && !blocks) return reply({ status: 503, body: {} })
-		const news = this.log.filter((e) => e.stamp > from)
+		const under = query(path).get('under') ?? ''
+		if (!this.down && from < this.forgotten && from >= 0) return reply({ status: 410, body: {} })
+		let at = this.log.length
+		while (at > 0 && this.log[at - 1].stamp > from) at--
+		const news = this.log.slice(at).filter((e) => e.key.startsWith(under))
 		if (!this.down && (news.length > 0 || this.clock.nowMs >= until)) {
 			const log = news.map((e) =>
 				e.data === undefined
@@ -117,11 +176,14 @@
 		if (changes.length > 0) this.epoch++
 		for (const c of changes) {
 			if ('set' in c) {
+				if (!this.keys.has(c.set)) this.order = null
 				this.keys.set(c.set, { data: c.data, stamp: this.epoch, grant: c.grant ?? null })
-				this.log.push({ key: c.set, data: c.data, stamp: this.epoch })
+				this.tell({ key: c.set, data: c.data, stamp: this.epoch })
 				this.durable(c.set, c.data)
-			} else if (this.keys.delete(c.delete))
-				this.log.push({ key: c.delete, data: undefined, stamp: this.epoch })
+			} else if (this.keys.delete(c.delete)) {
+				this.order = null
+				this.tell({ key: c.delete, data: undefined, stamp: this.epoch })
+			}
 		}
 		return ok({ epoch: this.epoch })
 	}
