--- /dev/null
+++ b/packages/history/src/index.ts
@@ -0,0 +1,5 @@
+export * from './leaf.js'
+export * from './merge.js'
+export * from './mover.js'
+export * from './order.js'
+export * from './recall.js'
--- /dev/null
+++ b/packages/history/src/leaf.ts
@@ -0,0 +1,161 @@
+import { deflateRawSync, inflateRawSync } from 'node:zlib'
+import { isMap } from '@heathroad/wire'
+import { END, levelPrefix } from './order.js'
+
+/** A job that is over, as it is kept for ever. Counts are of tasks. */
+export interface Past {
+	/** `ordinal` of its id */
+	at: string
+	aborted: boolean
+	tasks: number
+	done: number
+	/** of the change that made it durable: streams tell what came before a cursor from what came after it */
+	epoch: number
+}
+
+/** A record of the archive: the final states of one range of ids, packed. */
+export interface Leaf {
+	from: string
+	/** not part of it */
+	to: string
+	/** how often its range was split */
+	depth: number
+	/** some of its range may lie in the level below */
+	deeper: boolean
+	packed: string
+	/** of its key; 0: the level has no leaf yet, and this one stands for it */
+	stamp: number
+}
+
+/** A record of the archive that this program cannot read. */
+export class BadLeaf extends Error {}
+
+/** What a packed leaf holds, by columns, since like figures compress well together. */
+interface Columns {
+	/** by width of the ids: the width, and the numbers, each less the one before it */
+	ids: [width: number, steps: string][]
+	done: number[]
+	/** of those aborted: their index and their tasks; all tasks of the others are done */
+	aborted: [index: number, tasks: number][]
+	/** least epoch, and what each lies above it */
+	epoch: number
+	epochs: number[]
+}
+
+const byPlace = (a: Past, b: Past): number => (a.at < b.at ? -1 : a.at > b.at ? 1 : 0)
+
+/** Packs final states, which must be in order and distinct. */
+export const pack = (items: readonly Past[]): string => {
+	if (items.length === 0) return ''
+	const epoch = items.reduce((least, p) => Math.min(least, p.epoch), Number.POSITIVE_INFINITY)
+	const columns: Columns = { ids: [], done: [], aborted: [], epoch, epochs: [] }
+	let width = -1
+	let before = 0n
+	let steps: string[] = []
+	const close = () => {
+		if (steps.length > 0) columns.ids.push([width, steps.join(',')])
+	}
+	for (const [i, p] of items.entries()) {
+		const w = Number(p.at.slice(0, 2))
+		const n = BigInt(p.at.slice(2))
+		if (w !== width) {
+			close()
+			steps = []
+			width = w
+			before = 0n
+		}
+		steps.push(String(n - before))
+		before = n
+		columns.done.push(p.done)
+		if (p.aborted) columns.aborted.push([i, p.tasks])
+		columns.epochs.push(p.epoch - epoch)
+	}
+	close()
+	return deflateRawSync(JSON.stringify(columns)).toString('base64')
+}
+
+/** The final states of a packed leaf, in order. Throws `BadLeaf`. */
+export const unpack = (packed: string): Past[] => {
+	if (packed === '') return []
+	try {
+		const c = JSON.parse(inflateRawSync(Buffer.from(packed, 'base64')).toString()) as Columns
+		const out: Past[] = []
+		for (const [width, steps] of c.ids) {
+			let n = 0n
+			const head = String(width).padStart(2, '0')
+			for (const step of steps.split(',')) {
+				n += BigInt(step)
+				const done = c.done[out.length]
+				const at = head + String(n).padStart(width, '0')
+				out.push({ at, aborted: false, tasks: done, done, epoch: c.epoch + c.epochs[out.length] })
+			}
+		}
+		for (const [i, tasks] of c.aborted) {
+			out[i].aborted = true
+			out[i].tasks = tasks
+		}
+		const whole = out.every(
+			(p, i) => Number.isFinite(p.done) && Number.isFinite(p.epoch) && (i === 0 || out[i - 1].at < p.at),
+		)
+		if (!whole || c.done.length !== out.length) throw new Error('columns that do not fit together')
+		return out
+	} catch (e) {
+		throw new BadLeaf((e as Error).message)
+	}
+}
+
+/** One of a sorted list. */
+export const pick = (items: readonly Past[], at: string): Past | undefined => {
+	let from = 0
+	let to = items.length
+	while (from < to) {
+		const middle = (from + to) >> 1
+		if (items[middle].at < at) from = middle + 1
+		else to = middle
+	}
+	return items[from]?.at === at ? items[from] : undefined
+}
+
+/** Two final states of one job that differ: something wrote what it must not. */
+export class Disagreement extends Error {}
+
+/** Both, in order. What is in both must agree, since a final state never changes. Throws `Disagreement`. */
+export const union = (a: readonly Past[], b: readonly Past[]): Past[] => {
+	const out: Past[] = []
+	for (const p of [...a, ...b].sort(byPlace)) {
+		const last = out.at(-1)
+		if (last?.at !== p.at) out.push(p)
+		else if (last.aborted !== p.aborted || last.done !== p.done)
+			throw new Disagreement(`${p.at}: ${JSON.stringify(last)} and ${JSON.stringify(p)}`)
+	}
+	return out
+}
+
+export const covers = (leaf: Leaf, at: string): boolean => leaf.from <= at && at < leaf.to
+
+/** A level without any leaf. */
+export const emptyLevel = (): Leaf => ({
+	from: '',
+	to: END,
+	depth: 0,
+	deeper: false,
+	packed: '',
+	stamp: 0,
+})
+
+export const writeLeaf = ({ from, depth, deeper, packed }: Leaf): unknown => ({ from, depth, deeper, packed })
+
+/** Reads a leaf's record. Throws `BadLeaf`, naming the key. */
+export const readLeaf = (level: number, key: string, data: unknown, stamp: number): Leaf => {
+	const to = key.slice(levelPrefix(level).length)
+	const fits =
+		isMap(data) &&
+		typeof data.from === 'string' &&
+		typeof data.packed === 'string' &&
+		typeof data.depth === 'number' &&
+		typeof data.deeper === 'boolean' &&
+		data.from < to
+	if (!fits) throw new BadLeaf(`${key}: is no record of the archive`)
+	const { from, depth, deeper, packed } = data as Record<string, never>
+	return { from, to, depth, deeper, packed, stamp }
+}
