Write final states to shared pages and archive them, moving old installations over

Need: memory, starts and the change rate followed history. Change: outcomes that end together share a change and contend with cancellations on their part's page; a turn fences late writes; full pages leave memory once nothing else names their jobs; keys of the first form are left out of full reads and moved over while serving; the form changes only when every controller knows it.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -36,6 +36,10 @@
 	const config = guarded(() => loadConfig(options.config, options.ini))
 	const log = makeLog()
 	const service = new Service(config, log)
+	service.onTooNew = (why) => {
+		process.stderr.write(`heathroad: ${why}: refusing to start\n`)
+		process.exit(EXIT.usage)
+	}
 	process.on('uncaughtException', (e) => service.recover(e))
 	process.on('unhandledRejection', (e) => service.recover(e))
 	try {
@@ -192,6 +196,36 @@
 		await (await verbs()).watch(where(o), uids, o.team, o.cursor)
 	})
 
+const state = program.command('state').description("look at, save and restore the service's state")
+const stateTools = () => import('./state-tools.js')
+const reading = (verb: Command): Command =>
+	verb
+		.requiredOption('--config <file>', "the platform's settings (JSON)")
+		.option('--ini <file>', "operators' own settings")
+const config = (o: { config: string; ini?: string }) => guarded(() => loadConfig(o.config, o.ini))
+
+reading(state.command('check'))
+	.description('say what does not fit, a line each; exit code 1 if anything does not')
+	.option('--cloud', "compare with the cloud's list of machines too")
+	.action(async (o) => (await stateTools()).check(config(o), o.cloud === true))
+
+reading(state.command('export'))
+	.description('write the whole state as of one moment to a file')
+	.argument('<file>')
+	.action(async (file: string, o) => (await stateTools()).save(config(o), file))
+
+reading(state.command('import'))
+	.description('write a saved state into an empty state service; goes on where it was stopped')
+	.argument('<file>')
+	.action(async (file: string, o) => (await stateTools()).restore(config(o), file))
+
+state
+	.command('diff')
+	.description('keys in which two saved states differ; exit code 1 if any')
+	.argument('<before>')
+	.argument('<after>')
+	.action(async (before: string, after: string) => (await stateTools()).compare(before, after))
+
 program.parseAsync().catch((e) => {
 	process.stderr.write(`heathroad: ${(e as Error).message}\n`)
 	process.exit(EXIT.refused)
--- a/packages/cluster/src/finals.ts
+++ b/packages/cluster/src/finals.ts
@@ -1,4 +1,4 @@
-import { asJob, type JobRecord } from './records.js'
+import type { JobRecord } from './records.js'
 
 /** A job's final state, and the epoch of the change that made it durable. */
 export interface Final {
@@ -57,14 +57,14 @@
 	private readonly lines = new Map<string, Line>()
 	/** in the order of their arrival here, which is nearly that of their epochs */
 	private kept: Final[] = []
+	private readonly byUid = new Map<string, Final>()
 
 	/**
-	 * `keep`: how many at most. `read`: a job's own record and the stamp of its key; records of final states never
-	 * change, so the stamp is the epoch of the final state.
+	 * `keep`: how many at most. `read`: the final states of jobs that are not among them.
 	 */
 	constructor(
 		private readonly keep: number,
-		private readonly read: (uid: string) => { data: unknown; stamp: number } | undefined,
+		private readonly read: (uid: string) => Final | undefined,
 	) {}
 
 	private line(team: string): Line {
@@ -94,6 +94,7 @@
 		if (at > 0 && comparePositions(line.all[at - 1], final) === 0) return
 		line.all.splice(at, 0, final)
 		this.kept.push(final)
+		this.byUid.set(final.uid, final)
 		// In batches, so that dropping costs little for each.
 		if (this.kept.length > this.keep * 1.25) this.trim()
 	}
@@ -101,14 +102,15 @@
 	private trim(): void {
 		this.kept.sort(comparePositions)
 		const gone = this.kept.splice(0, this.kept.length - this.keep)
-		for (const f of gone) this.line(f.team).floor = f
+		for (const f of gone) {
+			this.line(f.team).floor = f
+			this.byUid.delete(f.uid)
+		}
 		for (const line of this.lines.values()) line.all.splice(0, FinalsLog.index(line.all, line.floor))
 	}
 
 	final(uid: string): Final | undefined {
-		const entry = this.read(uid)
-		const record = asJob(entry?.data)
-		return record === null ? undefined : (asFinal(uid, record, entry!.stamp) ?? undefined)
+		return this.byUid.get(uid) ?? this.read(uid)
 	}
 
 	next(team: string, after: Position, epoch: number): Final | null {
--- a/packages/cluster/src/membership.ts
+++ b/packages/cluster/src/membership.ts
@@ -28,6 +28,8 @@
 	stranded: number[]
 	/** machines of parts it does not own that reported to it lately, by part */
 	sought: Record<string, number>
+	/** may the records move to a form that archives jobs which are over? */
+	history: boolean
 }
 
 interface Peer {
@@ -53,7 +55,10 @@
 	/** machines of a part that should have reported long ago, if they are most of it; else 0 */
 	unheard(part: number): number
 	/** news for the peers */
-	news(): Pick<PeerNews, 'running' | 'ready' | 'empty' | 'suspect' | 'sought' | 'stranded' | 'used'>
+	news(): Pick<
+		PeerNews,
+		'running' | 'ready' | 'empty' | 'suspect' | 'sought' | 'stranded' | 'used' | 'history'
+	>
 	heard(news: PeerNews): void
 	/** jobs of these parts that were cancelled within the last `cancel_s`, for a peer cut off from the state */
 	cancelled(parts: number[]): string[]
@@ -416,8 +421,12 @@
 		const peer = this.peers.find((p) => p.name === message.name)
 		if (peer === undefined) return
 		peer.heard = this.now()
-		// Peers of an older version, during a rolling restart, say nothing of stranded parts.
-		peer.news = { stranded: [], ...(message as unknown as Omit<PeerNews, 'stranded'>) }
+		// Peers of an older version, during a rolling restart, say nothing of stranded parts and know no archive.
+		peer.news = {
+			stranded: [],
+			history: false,
+			...(message as unknown as Omit<PeerNews, 'stranded' | 'history'>),
+		}
 		this.events.heard(peer.news)
 	}
 
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -6,6 +6,12 @@
 export const fleetKey = (name: string): string => `fleet/${name}`
 export const jobKey = (uid: string): string => `job/${uid}`
 export const chunkKey = (uid: string, c: number): string => `done/${uid}/${c}`
+/** final states of a part's jobs that became durable lately: each of them changes this key */
+export const overKey = (k: number): string => `over/${k}`
+/** those that were there before, as of an epoch */
+export const closedKey = (k: number, epoch: number): string => `over/${k}/${epoch}`
+/** the form of the records, and the latest turn; without it they are of the first form */
+export const HISTORY = 'history'
 export const CATALOG = 'catalog'
 /** a name of the whole installation that nobody else has, once something needs it */
 export const INSTALLATION = 'installation'
@@ -45,6 +51,21 @@
 	need?: { team: string; cpus: number; gpus: number; ramGb: number }
 }
 
+/** The newest form of the records that this program knows. */
+export const FORM = 2
+
+export interface HistoryRecord {
+	form: number
+	turn: number
+	/** may there be final states in keys of their own, as the first form has them? */
+	legacy: boolean
+}
+
+export const asHistory = (data: unknown): HistoryRecord | null =>
+	isMap(data) && typeof data.form === 'number' && typeof data.turn === 'number'
+		? { form: data.form, turn: data.turn, legacy: data.legacy !== false }
+		: null
+
 /** Jobs accepted together, in one key of their own until each has one. */
 export const asIntake = (data: unknown): JobRecord[] | null =>
 	isMap(data) && Array.isArray(data.jobs) && data.jobs.every((r) => asJob(r)?.spec !== undefined)
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -83,6 +83,16 @@
 	history: number
 }
 
+/** What becomes of jobs that are over, on only if the INI file has its section. */
+export interface HistorySettings {
+	/** final states of one part that go into the archive together */
+	batch: number
+	/** share of the controller's changes that the archive may take */
+	share: number
+	/** packed records of the archive that are kept for questions, in MB */
+	cacheMb: number
+}
+
 interface Key {
 	section: string
 	key: string
@@ -109,6 +119,12 @@
 	history: { section: 'grpc', key: 'history', value: 20_000, min: 1, max: 1_000_000 },
 }
 
+const HISTORY: { [K in keyof HistorySettings]: Key } = {
+	batch: { section: 'history', key: 'batch', value: 600, min: 1, max: 20_000 },
+	share: { section: 'history', key: 'share', value: 0.2, min: 0.01, max: 1 },
+	cacheMb: { section: 'history', key: 'cache_mb', value: 2, min: 0.1, max: 1000 },
+}
+
 export class ConfigError extends Error {}
 
 const readText = (path: string): string => {
@@ -124,7 +140,7 @@
 /** The file's sections; keys outside of one, and sections and keys that nobody knows, are typing errors. */
 const readSections = (path: string): Sections => {
 	const known = new Map<string, Set<string>>([['grpc', new Set(['listen'])]])
-	for (const { section, key } of [...Object.values(TUNING), ...Object.values(GRPC)])
+	for (const { section, key } of [TUNING, GRPC, HISTORY].flatMap((t) => Object.values<Key>(t)))
 		known.set(section, (known.get(section) ?? new Set()).add(key))
 	const read = ini.parse(readText(path))
 	for (const [section, content] of Object.entries(read)) {
@@ -149,22 +165,33 @@
 	return out
 }
 
+/** What an INI file settles. */
+export interface Options {
+	tuning: Tuning
+	/** null: no face for gRPC */
+	grpc: GrpcSettings | null
+	/** null: jobs that are over stay in memory, unless the state is of a form that archives them already */
+	history: HistorySettings | null
+}
+
 /** Reads the operators' settings; without a file all are at their defaults and nothing optional is on. */
-export const readIni = (path: string | undefined): { tuning: Tuning; grpc: GrpcSettings | null } => {
+export const readIni = (path: string | undefined): Options => {
 	const sections = path === undefined ? {} : readSections(path)
 	const file = path ?? ''
 	const tuning = readNumbers(file, sections, TUNING)
-	if (sections.grpc === undefined) return { tuning, grpc: null }
+	const history = sections.history === undefined ? null : readNumbers(file, sections, HISTORY)
+	if (sections.grpc === undefined) return { tuning, grpc: null, history }
 	const { listen } = sections.grpc
 	if (typeof listen !== 'string' || !ADDRESS.test(listen))
 		throw new ConfigError(`${file}: grpc.listen: must be ${ADDRESS_FORM}`)
-	return { tuning, grpc: { listen, ...readNumbers(file, sections, GRPC) } }
+	return { tuning, grpc: { listen, ...readNumbers(file, sections, GRPC) }, history }
 }
 
 /** What is in force where no file says otherwise. */
 export const DEFAULTS = readIni(undefined)
 /** The face for gRPC as it is when its section holds nothing but `listen`. */
 export const grpcDefaults = (listen: string): GrpcSettings => ({ listen, ...readNumbers('', {}, GRPC) })
+export const historyDefaults: HistorySettings = readNumbers('', {}, HISTORY)
 
 /**
  * Figures that the service derives from the settings. All are ratios, so that a deployment with other
@@ -194,14 +221,17 @@
 	sockets: number
 }
 
-export interface Config {
+export interface Config extends Options {
 	settings: Settings
-	tuning: Tuning
-	/** null: no face for gRPC */
-	grpc: GrpcSettings | null
 	derived: Derived
 }
 
+/** What a page of final states holds: a value, and no more jobs than go into the archive together. */
+export const pageRoom = (c: Config): { value: number; jobs: number } => ({
+	value: c.settings.deployment.state.value_kb * 1024 - 200,
+	jobs: (c.history ?? historyDefaults).batch,
+})
+
 export const derive = (s: Settings): Derived => {
 	const names = [s.host_name, ...s.members.map((m) => m.host_name)].sort()
 	const d = s.deployment
--- a/packages/controller/src/part.ts
+++ b/packages/controller/src/part.ts
@@ -712,6 +712,14 @@
 		return this.s.used(team)
 	}
 
+	/** Jobs of which some attempt may still be on a machine of ours; null: that is not known yet. */
+	holding(): Set<string> | null {
+		if (!this.s.settled || this.s.stopped) return null
+		const uids = new Set<string>()
+		for (const m of this.machines.values()) for (const a of m.attempts.values()) uids.add(a.uid)
+		return uids
+	}
+
 	/** Machines that missed two reports while we listened, if they are two thirds of the part at least; else 0. */
 	unheard(): number {
 		if (!this.s.settled) return 0
--- a/packages/controller/src/progress.ts
+++ b/packages/controller/src/progress.ts
@@ -1,72 +1,74 @@
-import { CHUNK, chunkKey, type JobRecord, jobKey } from '@heathroad/cluster'
+import { CHUNK, chunkKey, type JobRecord, ownRecord } from '@heathroad/cluster'
 import type { Ranges } from '@heathroad/policy'
 import { type Content, ROOT, Urgency } from '@heathroad/store'
 import type { Change } from '@heathroad/wire'
 import type { JobRun } from './model.js'
+import { Outcomes } from './outcomes.js'
 import type { PartState } from './state.js'
 
 /** Makes the jobs' progress and outcomes durable. */
 export class Progress {
-	constructor(private readonly s: PartState) {}
+	private readonly outcomes: Outcomes
+
+	constructor(private readonly s: PartState) {
+		this.outcomes = new Outcomes(s)
+	}
 
 	private complete(job: JobRun): boolean {
 		return job.spec.kind !== 'daemon' && job.done.size >= job.spec.tasks
 	}
 
-	/** What the job's record should say now; null: nothing is to be written any more. */
-	private content(
-		job: JobRun,
-	): { complete: boolean; snapshot: Ranges; changes: Change[]; stamp: number } | null {
+	/** What the job's record should say now; null: nothing is to be written here any more. */
+	private content(job: JobRun): { snapshot: Ranges; content: Content } | null {
 		const uid = job.spec.uid
 		const known = this.s.ports.job(uid)
 		if (job.over || this.s.stopped || known === undefined || known.record.final !== undefined) return null
 		const complete = this.complete(job)
+		if (complete && this.s.paged) return null
 		const snapshot = job.done.copy()
-		const changes: Change[] = []
+		const more: Change[] = []
+		let data: JobRecord
 		if (complete) {
 			const { team, cpus, gpus, ramGb } = job.spec
-			const data: JobRecord = {
+			data = {
 				part: this.s.k,
 				final: 'done',
 				tasks: job.spec.tasks,
 				need: { team, cpus, gpus, ramGb },
 			}
-			changes.push({ set: ROOT + jobKey(uid), data })
 		} else {
-			changes.push({ set: ROOT + jobKey(uid), data: { ...known.record, done: snapshot.slice(0, CHUNK) } })
+			data = { ...known.record, done: snapshot.slice(0, CHUNK) }
 			const ops = this.s.config.settings.deployment.state.txn_ops
 			for (let c = 1; c * CHUNK < job.spec.tasks; c++) {
 				const [from, to] = [c * CHUNK, Math.min(job.spec.tasks, (c + 1) * CHUNK)]
 				const now = snapshot.slice(from, to)
 				if (String(now) === String(job.durable.slice(from, to))) continue
 				// What does not fit into this transaction is not durable yet and waits for the next one.
-				if (changes.length < ops) changes.push({ set: ROOT + chunkKey(uid, c), data: now })
+				if (more.length + 1 < ops) more.push({ set: ROOT + chunkKey(uid, c), data: now })
 				else for (let n = from; n < to; n++) if (!job.durable.has(n)) snapshot.delete(n)
 			}
 		}
-		return { complete, snapshot, changes, stamp: known.stamp }
+		const { conditions, changes } = ownRecord(this.s.known, uid, known.stamp, data, more)
+		return { snapshot, content: { conditions: [this.s.owning(), ...conditions], changes } }
 	}
 
 	/**
 	 * Writes a job's progress, or its final state once all its tasks are done; what waits for its turn then goes
-	 * ahead as an outcome. Both contend with a cancellation on the job's stamp.
+	 * ahead as an outcome. Both contend with a cancellation: on the job's stamp in the first form of the records, in
+	 * the second on that of the page where all final states of the part are.
 	 */
 	write(job: JobRun): void {
 		if (job.over || this.s.stopped) return
-		const urgency = this.complete(job) ? Urgency.outcome : Urgency.progress
+		const complete = this.complete(job)
+		if (complete && this.s.paged) return this.outcomes.add(job)
+		const urgency = complete ? Urgency.outcome : Urgency.progress
 		if (job.write !== null) return this.s.ports.raise(job.write, urgency)
-		const uid = job.spec.uid
 		let sent: ReturnType<Progress['content']> = null
 		job.write = this.s.ports.write({
 			urgency,
 			build: (): Content | null => {
 				sent = this.content(job)
-				return sent === null
-					? null
-					: {
-							conditions: [this.s.owning(), { key: ROOT + jobKey(uid), stamp: sent.stamp }],
-							changes: sent.changes,
-						}
+				return sent?.content ?? null
 			},
 			done: (result) => {
 				job.write = null
@@ -77,7 +79,7 @@
 				}
 				if (result.kind === 'ok' && sent !== null) {
 					job.durable.addAll(sent.snapshot)
-					for (const c of sent.changes)
+					for (const c of sent.content.changes)
 						if ('set' in c) this.s.ports.wrote(c.set.slice(ROOT.length), c.data, result.epoch)
 					goOn()
 				} else if (result.kind !== 'refused') this.s.ports.refresh(goOn)
--- a/packages/controller/src/state.ts
+++ b/packages/controller/src/state.ts
@@ -1,5 +1,5 @@
-import { type FleetRecord, partKey } from '@heathroad/cluster'
-import type { Config } from '@heathroad/config'
+import { type FleetRecord, HISTORY, type Known, partKey, type Roll } from '@heathroad/cluster'
+import { type Config, pageRoom } from '@heathroad/config'
 import { fraction, hourly, orderRank, startBounds, type TeamLimit } from '@heathroad/policy'
 import { ROOT, type WriteResult } from '@heathroad/store'
 import type { Change, Condition, JobSpec, MachineType } from '@heathroad/wire'
@@ -20,6 +20,10 @@
 	private readonly pace = new Map<string, { ratio: number; n: number }>()
 	readonly boots = new Boots()
 	private readonly teams: ReadonlyMap<string, TeamLimit>
+	/** the records, for writes that are conditional on them */
+	readonly known: Known
+	/** what a page of final states holds */
+	readonly room: Roll
 
 	constructor(
 		readonly k: number,
@@ -28,6 +32,13 @@
 		readonly ports: Ports,
 	) {
 		this.teams = new Map(config.settings.deployment.teams.map((t) => [t.name, t]))
+		this.known = { get: (key) => ports.entry(key), stamp: (key) => ports.entry(key)?.stamp ?? 0 }
+		this.room = pageRoom(config)
+	}
+
+	/** Do final states share pages, or has each a key of its own, as in the first form of the records? */
+	get paged(): boolean {
+		return this.ports.entry(HISTORY) !== undefined
 	}
 
 	/** Every write of an owner holds only while its ownership does. */
--- a/packages/grpc/src/face.ts
+++ b/packages/grpc/src/face.ts
@@ -23,6 +23,7 @@
 } from '@heathroad/proto'
 import type { Service } from '@heathroad/server'
 import { BODY_LIMIT, isMap, type JobAnswer, type Reply, UID, UID_FORM } from '@heathroad/wire'
+import { Effect } from 'effect'
 import { HealthImplementation } from 'grpc-health-check'
 import { ServiceRecords } from './records.js'
 import { Sockets } from './sockets.js'
@@ -172,7 +173,7 @@
 			state: stateName(a.status),
 			done: a.done ?? 0,
 			running: a.running ?? 0,
-			tasks: record?.spec?.tasks ?? record?.tasks ?? 0,
+			tasks: record?.spec?.tasks ?? record?.tasks ?? this.s.history.known(a.uid)?.tasks ?? 0,
 		}
 	}
 
@@ -237,7 +238,21 @@
 		})
 		this.streams.add(stream)
 		// Nothing older may be told than anybody was told before the call, and nothing from before its cursor.
-		this.s.whenFresh((ok) => this.begin(stream, selection, cursor, ok))
+		this.s.whenFresh((ok) => {
+			if (!ok || 'team' in selection) return this.begin(stream, selection, cursor, ok)
+			this.recall(selection.uids, (all) => this.begin(stream, selection, cursor, all))
+		})
+	}
+
+	/** Final states of named jobs that are in memory no longer are read before the stream begins. */
+	private recall(uids: readonly string[], done: (all: boolean) => void): void {
+		const unknown = uids.filter((uid) => this.s.jobs.get(uid) === undefined && !this.s.history.proves(uid))
+		const read = Effect.forEach(unknown, (uid) => this.s.history.find(uid), { concurrency: 'unbounded' })
+		const told = Effect.map(read, (found) => {
+			for (const f of found) if (typeof f !== 'string') this.records.recall(f)
+			done(!found.includes('unsure'))
+		})
+		Effect.runFork(told)
 	}
 
 	private begin(stream: Stream, selection: Selection, cursor: string, fresh: boolean): void {
--- a/packages/grpc/src/records.ts
+++ b/packages/grpc/src/records.ts
@@ -1,5 +1,6 @@
-import { asFinal, FinalsLog, INSTALLATION, jobKey, recordedDone } from '@heathroad/cluster'
+import { asFinal, type Final, FinalsLog, INSTALLATION, recordedDone } from '@heathroad/cluster'
 import type { Hub, OpenJob, Records } from '@heathroad/events'
+import { type Past, pastUid } from '@heathroad/history'
 import type { Service, Watcher } from '@heathroad/server'
 import { ROOT, Urgency } from '@heathroad/store'
 
@@ -8,14 +9,15 @@
 	readonly finals: FinalsLog
 	/** parts that changed hands lately: what their owners tell of running tasks may not be complete, until when */
 	private readonly unsure = new Map<number, number>()
+	private readonly recalled = new Map<string, Final>()
 	hub: Hub | null = null
 
 	constructor(
 		private readonly s: Service,
-		history: number,
+		private readonly history: number,
 	) {
-		this.finals = new FinalsLog(history, (uid) => s.mirror.get(jobKey(uid)))
-		for (const [key] of s.mirror.under('job/')) this.noteFinal(key.slice('job/'.length))
+		this.finals = new FinalsLog(history, (uid) => this.recorded(uid) ?? this.recalled.get(uid))
+		for (const uid of s.jobs.known()) this.noteFinal(uid)
 		s.watcher = this
 	}
 
@@ -35,9 +37,25 @@
 	}
 
 	private noteFinal(uid: string): void {
-		const known = this.s.jobs.get(uid)
-		const final = known === undefined ? null : asFinal(uid, known.record, known.stamp)
-		if (final !== null) this.finals.add(final)
+		const final = this.recorded(uid)
+		if (final !== undefined) this.finals.add(final)
+	}
+
+	private recorded(uid: string): Final | undefined {
+		const known = this.s.jobs.final(uid)
+		return known === undefined ? undefined : (asFinal(uid, known.record, known.epoch) ?? undefined)
+	}
+
+	/** Read from the archive for a stream that names the job: the latest of those are kept. */
+	recall(past: Past): void {
+		const uid = pastUid(past)
+		const { aborted, tasks, done, epoch } = past
+		this.recalled.delete(uid)
+		this.recalled.set(uid, { uid, team: '', state: aborted ? 'aborted' : 'done', epoch, tasks, done })
+		for (const oldest of this.recalled.keys()) {
+			if (this.recalled.size <= this.history) break
+			this.recalled.delete(oldest)
+		}
 	}
 
 	// ---- what streams read ----
--- a/packages/server/src/core.ts
+++ b/packages/server/src/core.ts
@@ -1,6 +1,7 @@
 import type { Fleets, JobBook, Membership } from '@heathroad/cluster'
 import type { Config } from '@heathroad/config'
 import type { CapacityBook, Part } from '@heathroad/controller'
+import type { Found, Past } from '@heathroad/history'
 import type { Mirror, Writer } from '@heathroad/store'
 import type { MachineType } from '@heathroad/wire'
 import type { Effect } from 'effect'
@@ -8,6 +9,18 @@
 export type LogLevel = 'error' | 'info' | 'debug'
 export type Log = (level: LogLevel, event: string, fields?: Record<string, unknown>) => void
 
+/** Jobs that are over and in memory no longer. */
+export interface Archive {
+	/** A final state that takes no read; the id must be of the right form. */
+	known(uid: string): Past | undefined
+	/** A final state where no record in memory names the job. */
+	find(uid: string): Effect.Effect<Found>
+	/** Needs an acceptance no proof that its job was not archived, or is there one without a read? */
+	proves(uid: string): boolean
+	/** epoch of the latest turn; 0: nothing is archived */
+	turn(): number
+}
+
 /** What the faces of one controller use of it. */
 export interface Core {
 	readonly config: Config
@@ -19,6 +32,7 @@
 	readonly jobs: JobBook
 	readonly fleets: Fleets
 	readonly capacity: CapacityBook
+	readonly history: Archive
 	catalog(): readonly MachineType[]
 	/** the parts that this controller owns */
 	part(k: number): Part | undefined
--- a/packages/server/src/index.ts
+++ b/packages/server/src/index.ts
@@ -1,3 +1,4 @@
+export * from './archiving.js'
 export * from './core.js'
 export * from './http.js'
 export * from './service.js'
--- a/packages/server/src/intake.ts
+++ b/packages/server/src/intake.ts
@@ -1,7 +1,8 @@
-import { type JobRecord, jobKey } from '@heathroad/cluster'
+import { acceptance, type JobRecord } from '@heathroad/cluster'
 import { rank } from '@heathroad/policy'
-import { type Content, ROOT, Urgency, type Write } from '@heathroad/store'
+import { type Content, Urgency, type Write } from '@heathroad/store'
 import type { JobSpec } from '@heathroad/wire'
+import { Effect } from 'effect'
 import type { Core } from './core.js'
 
 export type Acceptance =
@@ -15,6 +16,9 @@
 	record: JobRecord & { spec: JobSpec }
 	bytes: number
 	until: number
+	/** epoch as of which it was proven that the job is not archived */
+	proven: number
+	proving: boolean
 	done: (how: Acceptance) => void
 }
 
@@ -43,14 +47,48 @@
 
 	accept(record: JobRecord & { spec: JobSpec }, waitMs: number, done: (how: Acceptance) => void): void {
 		const bytes = JSON.stringify(record).length + 1
-		this.waiting.push({ record, bytes, until: this.s.now() + waitMs, done })
-		this.flush()
+		const until = this.s.now() + waitMs
+		const w: Waiting = { record, bytes, until, done, proven: -1, proving: false }
+		this.waiting.push(w)
+		if (this.proven(w)) this.flush()
+		else this.prove(w)
+	}
+
+	/**
+	 * Is it proven that the job is not archived? An acceptance holds only for the turn in which it is made, and what was
+	 * archived before that turn is in a proof from within it. What was over and not archived then, we know.
+	 */
+	private proven(w: Waiting): boolean {
+		const { history, mirror } = this.s
+		if (w.proven >= history.turn() && w.proven >= 0) return true
+		if (!history.proves(w.record.spec.uid)) return false
+		w.proven = mirror.epoch
+		return true
+	}
+
+	private prove(w: Waiting): void {
+		if (w.proving) return
+		w.proving = true
+		const asked = this.s.mirror.epoch
+		const heard = this.s.history.find(w.record.spec.uid).pipe(
+			Effect.map((found) => {
+				w.proving = false
+				if (!this.waiting.includes(w)) return
+				if (found === 'absent') {
+					w.proven = asked
+					this.flush()
+				} else this.settle(new Set([w]), found === 'unsure' ? 'refused' : 'unclear')
+			}),
+		)
+		Effect.runFork(heard)
 	}
 
-	/** Those waiting in the order in which they are written: teams in turn, within each the urgent first. */
+	/** Those that may be written, in that order: teams in turn, within each the urgent first. */
 	private inTurn(): Waiting[] {
 		const teams = new Map<string, number>()
+		for (const w of this.waiting) if (!this.proven(w)) this.prove(w)
 		return this.waiting
+			.filter((w) => this.proven(w))
 			.map((w, i) => ({ w, i, rank: rank(w.record.spec.priority) }))
 			.sort((a, b) => b.rank - a.rank || a.i - b.i)
 			.map((x) => {
@@ -77,19 +115,16 @@
 	}
 
 	private flush(): void {
-		if (this.write !== null || this.waiting.length === 0) return
+		if (this.write !== null || !this.waiting.some((w) => this.proven(w))) return
 		let sent: Waiting[] = []
-		const key = `${ROOT}intake/${this.s.members.life}-${++this.counter}`
+		const key = `intake/${this.s.members.life}-${++this.counter}`
 		this.write = {
 			urgency: Urgency.user,
 			until: Math.min(...this.waiting.map((w) => w.until)),
 			build: (): Content | null => {
 				sent = this.batch()
 				const jobs = sent.map((w) => w.record)
-				return {
-					conditions: [{ key, stamp: 0 }, ...jobs.map((r) => ({ key: ROOT + jobKey(r.spec.uid), stamp: 0 }))],
-					changes: [{ set: key, data: { jobs } }],
-				}
+				return jobs.length === 0 ? null : acceptance(this.s.mirror, key, jobs)
 			},
 			done: (result) => {
 				if (result.kind === 'ok') this.settle(new Set(sent), 'accepted')
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -1,6 +1,16 @@
 import type * as http from 'node:http'
 import { Cloud } from '@heathroad/cloud'
-import { asJob, asPart, CATALOG, Fleets, hash, JobBook, Membership } from '@heathroad/cluster'
+import {
+	asJob,
+	asPart,
+	CATALOG,
+	Fleets,
+	HISTORY,
+	hash,
+	JobBook,
+	type JobRecord,
+	Membership,
+} from '@heathroad/cluster'
 import type { Config } from '@heathroad/config'
 import { CapacityBook, Part, type Ports } from '@heathroad/controller'
 import {
@@ -23,6 +33,7 @@
 } from '@heathroad/wire'
 import { Effect, Fiber } from 'effect'
 import type { Core, Log, Watcher } from './core.js'
+import { History } from './history.js'
 import { type Call, listen, type Tell } from './http.js'
 import { isForUsers, Users } from './users.js'
 
@@ -42,6 +53,9 @@
 	readonly capacity = new CapacityBook()
 	private types: readonly MachineType[] = []
 	readonly jobs: JobBook
+	readonly history: History
+	/** the records are of a form that this program does not know; nothing may be done with them */
+	onTooNew: (why: string) => void = () => {}
 	private cancelledLately: { uid: string; part: number; at: number }[] = []
 	/** where every recorded machine belongs */
 	readonly fleets = new Fleets()
@@ -74,8 +88,13 @@
 		// A third of our share each for what follows the changes and for questions; writes and grants have the rest.
 		const gapMs = 3000 / derived.readsPerS
 		this.mirror = new Mirror((key, entry, before) => this.changed(key, entry, before), gapMs, now)
-		this.mirror.onAdvance = () => this.watcher?.advanced()
 		this.jobs = new JobBook(this.mirror)
+		this.mirror.wants = (key, data) => this.history.wants(key, data)
+		this.mirror.onReload = (epoch) => this.history.reloaded(epoch)
+		this.mirror.onAdvance = () => {
+			this.history.advanced()
+			this.watcher?.advanced()
+		}
 		const limits = settings.deployment.state
 		this.writer = new Writer(
 			this.client,
@@ -102,6 +121,15 @@
 			},
 			log,
 		})
+		this.history = new History(this, this.client, {
+			parts: () => this.parts.keys(),
+			holding: (part) => this.parts.get(part)?.holding() ?? null,
+			tooNew: (form) => {
+				const why = `the state is of form ${form}, which this version does not know`
+				this.log('error', 'refusing to go on', { why })
+				this.onTooNew(why)
+			},
+		})
 		this.users = new Users(this)
 	}
 
@@ -130,7 +158,10 @@
 		const every = (ms: number, what: () => void) => this.timers.push(setInterval(what, ms))
 		every(Math.min(250, derived.reportMs / 4), () => this.tick())
 		every(derived.grantMs * 0.15, () => this.members.gossip())
-		every(derived.grantMs * 2, () => this.tidy())
+		every(derived.grantMs * 2, () => {
+			this.tidy()
+			this.history.look()
+		})
 		every(derived.grantMs * 0.2, () => this.listenAgain())
 		this.members.gossip()
 		const teams = this.config.settings.deployment.teams
@@ -141,6 +172,7 @@
 		for (const t of this.timers) clearInterval(t)
 		for (const f of this.fibers) Effect.runFork(Fiber.interrupt(f))
 		for (const p of this.parts.values()) p.stop()
+		this.history.stop()
 		for (const s of this.servers) {
 			s.closeAllConnections()
 			await new Promise((done) => s.close(done))
@@ -250,12 +282,12 @@
 		} else if (kind === 'done') this.watcher?.jobChanged(id.split('/')[0])
 		else if (kind === 'job') {
 			const record = asJob(entry?.data)
-			if (record === null) return
-			this.jobs.changed(id, record)
-			if (record.final === 'aborted')
-				this.cancelledLately.push({ uid: id, part: record.part, at: this.now() })
-			this.parts.get(record.part)?.jobChanged(id, record)
-			this.watcher?.jobChanged(id)
+			if (record !== null && this.jobs.changed(id, record)) this.jobChanged(id, record)
+		} else if (kind === 'over') {
+			const fresh = this.jobs.paged(key, entry, before, this.mirror.epoch)
+			for (const { uid, record } of fresh) this.jobChanged(uid, record)
+		} else if (kind === HISTORY) {
+			this.history.changed()
 		} else if (kind === 'intake') {
 			for (const record of this.jobs.arrived(entry?.data)) {
 				this.parts.get(record.part)?.jobChanged(record.spec!.uid, record)
@@ -268,6 +300,12 @@
 			this.setCatalog(entry.data as MachineType[])
 	}
 
+	private jobChanged(uid: string, record: JobRecord): void {
+		if (record.final === 'aborted') this.cancelledLately.push({ uid, part: record.part, at: this.now() })
+		this.parts.get(record.part)?.jobChanged(uid, record)
+		this.watcher?.jobChanged(uid)
+	}
+
 	private took(k: number, token: number): void {
 		this.parts.set(k, new Part(k, token, this.config, this.ports()))
 	}
@@ -298,6 +336,7 @@
 			used: this.used(),
 			ready: this.mirror.epoch >= 0 && this.stateOk(),
 			empty: this.capacity.told(this.now()),
+			history: this.config.history !== null || this.history.turn() > 0,
 		}
 	}
 
--- a/packages/server/src/users.ts
+++ b/packages/server/src/users.ts
@@ -1,7 +1,17 @@
-import { hash, type JobRecord, jobKey, recordedDone } from '@heathroad/cluster'
+import {
+	ended,
+	finalStates,
+	HISTORY,
+	hash,
+	type JobRecord,
+	ownRecord,
+	recordedDone,
+} from '@heathroad/cluster'
+import { pageRoom } from '@heathroad/config'
+import type { Past } from '@heathroad/history'
 import { allOffers, allowed, canEverRun, offerKey, rank, roomiest, withinLimit } from '@heathroad/policy'
-import { ROOT, Urgency, type WriteResult } from '@heathroad/store'
-import { type JobAnswer, type JobSpec, Malformed, type Reply, readSubmission } from '@heathroad/wire'
+import { type Content, ROOT, Urgency, type WriteResult } from '@heathroad/store'
+import { type JobAnswer, type JobSpec, Malformed, type Reply, readSubmission, UID } from '@heathroad/wire'
 import { Effect } from 'effect'
 import type { Core } from './core.js'
 import type { Call, Tell } from './http.js'
@@ -65,16 +75,31 @@
 		return this.s.jobs.get(uid)?.record ?? null
 	}
 
+	private archived(uid: string, { aborted, done }: Past): Reply {
+		return { status: 200, body: { uid, status: aborted ? 'aborted' : 'done', done, running: 0 } }
+	}
+
 	private status(uid: string): Effect.Effect<Reply> {
+		const unknown: Reply = { status: 404, body: { error: 'no such job' } }
+		if (!UID.test(uid)) return Effect.succeed(unknown)
 		// A final state stays for ever: no newer answer can exist.
 		const known = this.record(uid)
 		if (known?.final !== undefined) return Effect.succeed(this.answer(uid, known))
+		const old = known === null ? this.s.history.known(uid) : undefined
+		if (old !== undefined) return Effect.succeed(this.archived(uid, old))
 		return this.s.fresh().pipe(
-			Effect.map((ok) => {
+			Effect.flatMap((ok) => {
 				const record = this.record(uid)
-				if (record?.final !== undefined) return this.answer(uid, record)
-				if (!ok) return later()
-				return record === null ? { status: 404, body: { error: 'no such job' } } : this.answer(uid, record)
+				if (record?.final !== undefined) return Effect.succeed(this.answer(uid, record))
+				if (!ok) return Effect.succeed(later())
+				if (record !== null) return Effect.succeed(this.answer(uid, record))
+				// Not in memory as of now: it is archived, or nobody submitted it.
+				return this.s.history.find(uid).pipe(
+					Effect.map((found) => {
+						if (found === 'unsure') return later()
+						return found === 'absent' ? unknown : this.archived(uid, found)
+					}),
+				)
 			}),
 		)
 	}
@@ -85,17 +110,11 @@
 				const record = this.record(uid)
 				if (seen.status !== 200 || record === null || record.final !== undefined) return Effect.succeed(seen)
 				if (!this.s.members.mayConfirmCancel(record.part)) return Effect.succeed(later())
-				const data: JobRecord = { part: record.part, final: 'aborted' }
-				if (record.spec !== undefined) {
-					const { team, cpus, gpus, ramGb, tasks } = record.spec
-					data.tasks = tasks
-					data.need = { team, cpus, gpus, ramGb }
-				}
-				const body = seen.body as JobAnswer
-				data.count = body.done ?? 0
-				return this.write(uid, data, this.s.jobs.get(uid)!.stamp).pipe(
+				const done = (seen.body as JobAnswer).done ?? 0
+				return this.cancel(uid, record, done).pipe(
 					Effect.flatMap((result) => {
-						if (result.kind === 'ok') return Effect.succeed(this.answer(uid, data))
+						const now = this.record(uid)
+						if (now?.final !== undefined) return Effect.succeed(this.answer(uid, now))
 						if (result.kind === 'conflict' && tries > 1) return this.withdraw(uid, tries - 1)
 						return Effect.succeed(later())
 					}),
@@ -104,17 +123,39 @@
 		)
 	}
 
-	private write(uid: string, data: JobRecord, stamp: number): Effect.Effect<WriteResult> {
+	/** What makes a cancellation durable, from what is known when its turn comes; null: the job is over. */
+	private cancellation(uid: string, record: JobRecord, done: number): Content | null {
+		const known = this.s.jobs.get(uid)
+		if (known === undefined || known.record.final !== undefined) return null
+		const over = ended(uid, 'aborted', record.spec, Math.max(done, this.recordedDone(uid, known.record)))
+		const { mirror, config } = this.s
+		const { tasks, need } = over
+		const data: JobRecord = { part: record.part, final: 'aborted', tasks, need, count: over.done }
+		const own = ownRecord(mirror, uid, known.stamp, data)
+		if (mirror.get(HISTORY) === undefined) return own
+		// The own key too, until it is cleared away: an owner that has not seen the cancellation yet must not write
+		// progress behind it, for counts that were told never fall.
+		const { content } = finalStates(mirror, record.part, [over], pageRoom(config))
+		return {
+			conditions: [...content.conditions, ...own.conditions],
+			changes: [...content.changes, ...own.changes],
+		}
+	}
+
+	private cancel(uid: string, record: JobRecord, doneTasks: number): Effect.Effect<WriteResult> {
 		return Effect.callback<WriteResult>((resume) => {
+			let sent: Content | null = null
 			this.s.writer.submit({
 				urgency: Urgency.user,
-				build: () => ({
-					conditions: [{ key: ROOT + jobKey(uid), stamp }],
-					changes: [{ set: ROOT + jobKey(uid), data }],
-				}),
+				build: () => {
+					sent = this.cancellation(uid, record, doneTasks)
+					return sent
+				},
 				until: this.s.now() + 3000,
 				done: (result) => {
-					if (result.kind === 'ok') this.s.mirror.wrote(jobKey(uid), data, result.epoch)
+					if (result.kind === 'ok')
+						for (const c of sent?.changes ?? [])
+							if ('set' in c) this.s.mirror.wrote(c.set.slice(ROOT.length), c.data, result.epoch)
 					resume(Effect.succeed(result))
 				},
 			})
@@ -126,7 +167,8 @@
 		if (spec instanceof Malformed)
 			return reply({ status: 400, body: { error: String(spec), field: spec.field } })
 		const uid = spec.uid
-		if (this.record(uid) !== null) return this.run(this.status(uid), reply)
+		if (this.record(uid) !== null || this.s.history.known(uid) !== undefined)
+			return this.run(this.status(uid), reply)
 		if (this.s.mirror.epoch < 0 || this.s.catalog().length === 0) return reply(later())
 		const waiting = this.accepting.get(uid)
 		if (waiting !== undefined) {
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,4 +1,6 @@
 export * from './clock.js'
+export * from './explore.js'
+export * from './month.js'
 export * from './prove.js'
 export * from './proxy.js'
 export * from './rules.js'
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -1,4 +1,4 @@
-import { checkSettings, DEFAULTS, derive } from '@heathroad/config'
+import { checkSettings, DEFAULTS, derive, type HistorySettings } from '@heathroad/config'
 import { Service } from '@heathroad/server'
 import {
 	type Answer,
@@ -66,8 +66,13 @@
 	drift?: boolean
 	/** machines that are up before the controllers start */
 	up?: number
+	/** jobs that are over are archived; by default they are, in batches small enough for a day */
+	history?: HistorySettings | null
 }
 
+/** A day is short: what takes hours otherwise happens within minutes. */
+const SMALL_HISTORY: HistorySettings = { batch: 10, share: 0.5, cacheMb: 0.1 }
+
 const TYPES: readonly MachineType[] = [
 	{
 		name: 'box',
@@ -327,6 +332,7 @@
 		const config = {
 			settings: { ...settings, services: { cloud: 'cloud:1', state: 'state:1' } },
 			...DEFAULTS,
+			history: this.day.history === undefined ? SMALL_HISTORY : this.day.history,
 			derived: derive(settings),
 		}
 		this.lives[i]++
@@ -376,6 +382,11 @@
 		return this.nodes.flatMap((n) => (n === null ? [] : [...n.jobs.known()]))
 	}
 
+	/** Final states that the controllers hold in memory, the most of them. */
+	held(): number {
+		return Math.max(0, ...this.nodes.map((n) => n?.jobs.ended ?? 0))
+	}
+
 	/** Ends all controllers. */
 	async end(): Promise<void> {
 		for (const node of this.nodes) await node?.stop()
