--- /dev/null
+++ b/packages/inspect/src/index.ts
@@ -0,0 +1,5 @@
+export * from './check.js'
+export * from './cloud.js'
+export * from './ids.js'
+export * from './snapshot.js'
+export * from './walk.js'
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,6 +9,7 @@
 		: {
 				main: 'packages/cli/src/main.ts',
 				verbs: 'packages/cli/src/verbs.ts',
+				state: 'packages/cli/src/state-tools.ts',
 				grpc: 'packages/grpc/src/index.ts',
 			},
 	outdir: 'target',
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,12 +2,16 @@
 // dependency tree.
 
 /** Packages that a process loads only when it needs them; each is a bundle of its own beside the one that asks. */
-const LATER = { '@heathroad/grpc': './grpc.cjs', './verbs.js': './verbs.cjs' }
+const LATER = {
+	'@heathroad/grpc': './grpc.cjs',
+	'./verbs.js': './verbs.cjs',
+	'./state-tools.js': './state.cjs',
+}
 
 const later = {
 	name: 'later',
 	setup(build) {
-		build.onResolve({ filter: /^(@heathroad\/grpc|\.\/verbs\.js)$/ }, ({ path, kind }) =>
+		build.onResolve({ filter: /^(@heathroad\/grpc|\.\/verbs\.js|\.\/state-tools\.js)$/ }, ({ path, kind }) =>
 			kind === 'dynamic-import' ? { path: LATER[path], external: true } : undefined,
 		)
 	},
@@ -21,7 +25,7 @@
 	outExtension: { '.js': '.cjs' },
 	loader: { '.proto': 'text' },
 	// They read files that lie beside their code.
-	external: ['@grpc/*', 'grpc-health-check', 'protobufjs', 'esbuild'],
+	external: ['@grpc/*', 'grpc-health-check', 'protobufjs', 'esbuild', 'roaring-wasm'],
 	logLevel: 'warning',
 }
 
