--- /dev/null
+++ b/packages/lab/src/index.ts
@@ -0,0 +1,6 @@
+export * from './experiment.js'
+export * from './past.js'
+export * from './report.js'
+export * from './run.js'
+export * from './services.js'
+export * from './start.js'
--- /dev/null
+++ b/scripts/lab.mjs
@@ -0,0 +1,16 @@
+// Experiments with real controllers among stand-ins: npm run lab -- run deploy/lab/FILE.ini, npm run lab -- start
+import { spawnSync } from 'node:child_process'
+import { build } from 'esbuild'
+import { program, shared } from './bundle.mjs'
+
+await build({ ...program, entryPoints: { main: 'packages/cli/src/main.ts' }, outdir: 'target' })
+await build({
+	...shared,
+	entryPoints: { lab: 'packages/lab/src/main.ts' },
+	outdir: 'target',
+	// It reads files of its own package.
+	external: [...shared.external, 'uplot'],
+	define: { 'import.meta.url': 'undefined' },
+})
+const run = spawnSync(process.execPath, ['target/lab.cjs', ...process.argv.slice(2)], { stdio: 'inherit' })
+process.exit(run.status ?? 1)
