--- a/packages/history/src/recall.ts
+++ b/packages/history/src/recall.ts
@@ -1,4 +1,4 @@
-import type { Pace, StoreClient } from '@heathroad/store'
+import type { Failure, Pace, StoreClient } from '@heathroad/store'
 import { ROOT } from '@heathroad/store'
 import { isMap } from '@heathroad/wire'
 import { Effect } from 'effect'
@@ -230,6 +230,12 @@
 		q.done(found)
 	}
 
+	/** Too many requests is no outage: the questions stay and are read for in a later turn, while anybody waits. */
+	private unread(questions: readonly Question[], e: Failure): void {
+		if (e._tag === 'Refused' && e.status === 429) return
+		for (const q of questions) this.settle(q, 'unsure')
+	}
+
 	/** A job's own key of the first form. */
 	private readOwn(q: Question) {
 		const key = `${ROOT}job/${q.uid}`
@@ -248,7 +254,7 @@
 				const now = this.advance(q)
 				if (now !== null) this.settle(q, now)
 			}),
-			Effect.catch(() => Effect.sync(() => this.settle(q, 'unsure'))),
+			Effect.catch((e) => Effect.sync(() => this.unread([q], e))),
 		)
 	}
 
@@ -269,11 +275,7 @@
 					if (now !== null) this.settle(q, now)
 				}
 			}),
-			Effect.catch(() =>
-				Effect.sync(() => {
-					for (const q of alike) this.settle(q, 'unsure')
-				}),
-			),
+			Effect.catch((e) => Effect.sync(() => this.unread(alike, e))),
 			Effect.catchDefect((e) =>
 				Effect.sync(() => {
 					if (!(e instanceof BadLeaf)) this.failed(e)
--- a/packages/lab/src/main.ts
+++ b/packages/lab/src/main.ts
@@ -26,7 +26,8 @@
 	)
 	.option('--ini <file>', "operators' settings of the controllers", 'deploy/history.ini')
 	.option('--report <file>', 'where the page goes', 'target/lab.html')
-	.action(async (file: string, o: { build?: string[]; ini: string; report: string }) => {
+	.option('--json <file>', 'the seconds of the last build, for programs')
+	.action(async (file: string, o: { build?: string[]; ini: string; report: string; json?: string }) => {
 		const experiment = readExperiment(file)
 		const outcomes = []
 		for (const build of builds(o.build, o.ini)) {
@@ -48,6 +49,7 @@
 			)
 			for (const b of outcome.broken.slice(0, 10)) process.stderr.write(`${b}\n`)
 		}
+		if (o.json !== undefined) writeFileSync(o.json, JSON.stringify(outcomes.at(-1)?.seconds))
 		writeFileSync(o.report, htmlReport(experiment, outcomes))
 		process.stdout.write(`${o.report}\n`)
 		process.exit(outcomes.some((x) => x.broken.length > 0) ? 1 : 0)
--- a/packages/lab/src/report.ts
+++ b/packages/lab/src/report.ts
@@ -34,8 +34,13 @@
 		},
 		{
 			title: 'requests and changes of the state a second',
-			data: [at, o.seconds.map((s) => s.requests), o.seconds.map((s) => s.changes)],
-			names: ['requests', 'changes'],
+			data: [
+				at,
+				o.seconds.map((s) => s.requests),
+				o.seconds.map((s) => s.refused),
+				o.seconds.map((s) => s.changes),
+			],
+			names: ['requests', 'of them refused', 'changes'],
 		},
 		{ title: 'keys that controllers follow', data: [at, o.seconds.map((s) => s.keys)], names: ['keys'] },
 	]
--- a/packages/lab/src/run.ts
+++ b/packages/lab/src/run.ts
@@ -25,6 +25,8 @@
 	/** of all controllers, in MB */
 	memoryMb: number[]
 	requests: number
+	/** of them, answered 429 */
+	refused: number
 	changes: number
 	keys: number
 }
@@ -43,7 +45,8 @@
 /** Plays an experiment with real controller processes among stand-ins behind sockets. */
 export const runExperiment = async (e: Experiment, build: Build): Promise<Outcome> => {
 	const clock = new RealClock(e.seed)
-	const began = performance.now()
+	// Set anew when everything stands: making a long history takes seconds.
+	let began = performance.now()
 	const nowS = () => (performance.now() - began) / 1000
 	const rules = new Rules(() => performance.now() - began, TIMES.cancelS * 1000, new Map())
 	const state = new StateStandIn(clock, 10_000)
@@ -139,6 +142,7 @@
 		setTimeout(() => cloud.alreadyUp(e.machines, LAB_TYPES[0], 'a'), 500)
 		return made
 	})()
+	began = performance.now()
 	for (const c of controllers) c.start()
 	const any = () => controllers[Math.floor(clock.random() * controllers.length)].address
 	const wait = (ms: number) => new Promise((done) => setTimeout(done, ms))
@@ -215,6 +219,7 @@
 			...second,
 			memoryMb: controllers.map((c) => c.sample()),
 			requests: seen.requests - before.requests,
+			refused: seen.refused - before.refused,
 			changes: seen.changes - before.changes,
 			keys: state.count('heathroad/'),
 		})
--- a/scripts/measure-history.mjs
+++ b/scripts/measure-history.mjs
@@ -8,11 +8,17 @@
 		jobs: { type: 'string', default: '6000' },
 		seed: { type: 'string', default: '1' },
 		marks: { type: 'string', default: '6' },
+		'per-s': { type: 'string', default: '2' },
 	},
 })
 await build({ ...shared, entryPoints: { month: 'packages/testkit/src/month.ts' }, outdir: 'target' })
 const { playMonth } = await import(new URL('../target/month.cjs', import.meta.url).href)
-const month = await playMonth(Number(values.jobs), 2, Number(values.marks), Number(values.seed))
+const month = await playMonth(
+	Number(values.jobs),
+	Number(values['per-s']),
+	Number(values.marks),
+	Number(values.seed),
+)
 process.stdout.write('  jobs  followed  archive keys  held  changes/job  for outcomes  for the archive\n')
 for (const m of month.marks) {
 	const per = (n) => (n / m.jobs).toFixed(2)
--- a/tests/history.test.ts
+++ b/tests/history.test.ts
@@ -18,7 +18,7 @@
 	unpack,
 } from '@heathroad/history'
 import { leavable, mayTurn } from '@heathroad/server'
-import { Pace, ROOT, type StoreClient, type WriteResult } from '@heathroad/store'
+import { Pace, Refused, ROOT, type StoreClient, type WriteResult } from '@heathroad/store'
 import { StateStandIn, sweep, VirtualClock, World } from '@heathroad/testkit'
 import type { Change, Condition } from '@heathroad/wire'
 import { Effect } from 'effect'
@@ -238,6 +238,25 @@
 	assert.equal(store.keys('').length, 0)
 })
 
+test('a read that is refused for its rate is repeated; one that is not answered is told at once', async () => {
+	const store = makeStore()
+	for (const [status, tries, found] of [
+		[429, 3, 'absent'],
+		[503, 1, 'unsure'],
+	] as const) {
+		let asked = 0
+		const page: StoreClient['page'] = (...args) =>
+			++asked < 3 ? Effect.fail(new Refused({ status })) : store.page(...args)
+		const recall = new Recall({ page }, () => ({ legacy: false, levels: true }), new Pace(0, () => 0), {
+			cache: 1000,
+			waiting: 3,
+			run: 4,
+		})
+		assert.equal(await Effect.runPromise(recall.find('job-000001')), found)
+		assert.equal(asked, tries)
+	}
+})
+
 const over = (n: number, more: Partial<Ended> = {}): Ended => ({
 	...ended(
 		`job-${String(n).padStart(6, '0')}`,
