Tell an acceptance once all that came before it is known

Change: the answer waits until the records are followed up to the acceptance, and what is over by then, or became known while it waited, is asked for. Streams that name archived jobs are tested over gRPC.

--- a/packages/server/src/core.ts
+++ b/packages/server/src/core.ts
@@ -45,6 +45,8 @@
 	stateOk(): boolean
 	/** True once everything durable before the call is in the mirror; false if that takes too long. */
 	fresh(): Effect.Effect<boolean>
+	/** Calls back once the mirror holds everything up to an epoch; false: not within the time that users wait. */
+	whenSeen(epoch: number, done: (ok: boolean) => void): void
 	/** Brings the mirror up to date, then calls back; without an answer after a pause. */
 	refresh(done: () => void): void
 }
--- a/packages/server/src/index.ts
+++ b/packages/server/src/index.ts
@@ -1,4 +1,5 @@
 export * from './archiving.js'
 export * from './core.js'
 export * from './http.js'
+export * from './intake.js'
 export * from './service.js'
--- a/packages/server/src/intake.ts
+++ b/packages/server/src/intake.ts
@@ -86,6 +86,11 @@
 	/** Those that may be written, in that order: teams in turn, within each the urgent first. */
 	private inTurn(): Waiting[] {
 		const teams = new Map<string, number>()
+		// Accepted elsewhere since it came: its state is asked for.
+		this.settle(
+			new Set(this.waiting.filter((w) => this.s.jobs.get(w.record.spec.uid) !== undefined)),
+			'unclear',
+		)
 		for (const w of this.waiting) if (!this.proven(w)) this.prove(w)
 		return this.waiting
 			.filter((w) => this.proven(w))
@@ -127,7 +132,7 @@
 				return jobs.length === 0 ? null : acceptance(this.s.mirror, key, jobs)
 			},
 			done: (result) => {
-				if (result.kind === 'ok') this.settle(new Set(sent), 'accepted')
+				if (result.kind === 'ok') this.accepted(sent, result.epoch)
 				else if (result.kind === 'unknown') this.settle(new Set(sent), 'unclear')
 				// One of them is known already: it leaves, the others go again.
 				else if (result.kind === 'conflict')
@@ -142,6 +147,20 @@
 		this.s.writer.submit(this.write)
 	}
 
+	/**
+	 * Durable; told when we know all that came before. A user's retry may have met another controller meanwhile, and the
+	 * job be over by now: records of acceptances and of final states have no key in common that would say so.
+	 */
+	private accepted(some: readonly Waiting[], epoch: number): void {
+		this.waiting = this.waiting.filter((w) => !some.includes(w))
+		this.s.whenSeen(epoch, (ok) => {
+			for (const w of some) {
+				const over = this.s.jobs.get(w.record.spec.uid)?.record.final !== undefined
+				w.done(ok && !over ? 'accepted' : 'unclear')
+			}
+		})
+	}
+
 	private next(): void {
 		this.write = null
 		const now = this.s.now()
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -37,6 +37,9 @@
 import { type Call, listen, type Tell } from './http.js'
 import { isForUsers, Users } from './users.js'
 
+/** Users wait 2 s for an answer to a question (protocol). */
+const FRESH_MS = 1700
+
 const LATER: Reply = { status: 503, retryAfterS: 1 }
 
 /** One controller: composes the parts it owns with the state, the cloud, its peers and its HTTP faces. */
@@ -63,6 +66,8 @@
 	private strangers: { report: Report; reply: Tell }[] = []
 	/** machines of parts that are not ours and asked here for their owner */
 	private readonly seeking = new Map<string, { part: number; at: number }>()
+	/** who waits for the mirror to reach an epoch */
+	private readonly unseen = new Set<{ epoch: number; done: (ok: boolean) => void }>()
 	private pinged = 0
 	private telling = false
 	private fibers: Fiber.Fiber<unknown, unknown>[] = []
@@ -93,6 +98,7 @@
 		this.mirror.onReload = (epoch) => this.history.reloaded(epoch)
 		this.mirror.onAdvance = () => {
 			this.history.advanced()
+			this.tellSeen()
 			this.watcher?.advanced()
 		}
 		const limits = settings.deployment.state
@@ -460,11 +466,28 @@
 	/** True once everything durable before the call is in the mirror; false if that takes too long. */
 	fresh(): Effect.Effect<boolean> {
 		return this.mirror.fresh(this.client).pipe(
-			Effect.timeoutOption(1700),
+			Effect.timeoutOption(FRESH_MS),
 			Effect.map((o) => o._tag === 'Some' && o.value),
 		)
 	}
 
+	whenSeen(epoch: number, done: (ok: boolean) => void): void {
+		if (this.mirror.epoch >= epoch) return done(true)
+		const one = { epoch, done }
+		this.unseen.add(one)
+		setTimeout(() => {
+			if (this.unseen.delete(one)) done(false)
+		}, FRESH_MS)
+	}
+
+	private tellSeen(): void {
+		for (const one of this.unseen)
+			if (one.epoch <= this.mirror.epoch) {
+				this.unseen.delete(one)
+				one.done(true)
+			}
+	}
+
 	/** Calls back once everything durable before the call is in the mirror, or with false. */
 	whenFresh(done: (ok: boolean) => void): void {
 		Effect.runFork(this.fresh().pipe(Effect.map(done)))
--- a/tests/grpc.test.ts
+++ b/tests/grpc.test.ts
@@ -11,6 +11,7 @@
 } from '@grpc/grpc-js'
 import { grpcDefaults } from '@heathroad/config'
 import { GrpcFace } from '@heathroad/grpc'
+import { leafKey, ordinal, pack, writeLeaf } from '@heathroad/history'
 import { type EventMessage, jobsClient, toSubmitRequest } from '@heathroad/proto'
 import { RealClock, sweep, World } from '@heathroad/testkit'
 
@@ -23,6 +24,7 @@
 		world: World
 		client: InstanceType<ReturnType<typeof jobsClient>>
 	}) => Promise<void>,
+	before: (world: World) => void = () => {},
 ): Promise<void> => {
 	const clock = new RealClock()
 	const day = { seed: 1, untilS: 0, jobs: [], troubles: [], controllers: 1, up: 4, capacity: 0 }
@@ -33,6 +35,7 @@
 		face = new GrpcFace(node, { ...grpcDefaults('127.0.0.1:0'), everyS: 0.1, ...more })
 		started = face.start()
 	}
+	before(world)
 	world.begin()
 	const port = await started
 	const Client = jobsClient()
@@ -308,3 +311,66 @@
 		raw.close()
 	})
 })
+
+test('jobs that were archived long ago: told like all others, and each final state once, over a resume', async () => {
+	const archive = (world: World) => {
+		const items = [
+			{ at: ordinal('job-000100'), aborted: false, tasks: 3, done: 3, epoch: 2 },
+			{ at: ordinal('job-000200'), aborted: true, tasks: 4, done: 1, epoch: 1 },
+		]
+		const leaf = { from: '', to: '~', depth: 0, deeper: false, packed: pack(items), stamp: 0 }
+		world.state.put(leafKey(1, '~'), writeLeaf(leaf))
+		world.state.put('heathroad/history', { form: 2, turn: 1, legacy: false })
+	}
+	await withFace(
+		{},
+		async ({ client }) => {
+			const brief = (j: unknown) => {
+				const { state, done, tasks } = j as { state: string; done: number; tasks: number }
+				return [state, done, tasks]
+			}
+			assert.deepEqual(brief(await unary((d) => client.Get({ uid: 'job-000100' }, d))), ['STATE_DONE', 3, 3])
+			assert.deepEqual(brief(await unary((d) => client.Cancel({ uid: 'job-000200' }, d))), [
+				'STATE_CANCELLED',
+				1,
+				4,
+			])
+			const again = toSubmitRequest(sweep('job-000100', { tasks: 3 }))
+			assert.deepEqual(brief(await unary((d) => client.Submit(again, d))), ['STATE_DONE', 3, 3])
+			const heard = (uids: string[], cursor: string, ms: number) =>
+				new Promise<{ events: EventMessage[]; ended: boolean }>((resolve) => {
+					const call = client.Watch({ uids, cursor })
+					const events: EventMessage[] = []
+					const done = (ended: boolean) => {
+						call.cancel()
+						resolve({ events, ended })
+					}
+					call.on('data', (e: EventMessage) => events.push(e))
+					call.on('error', () => {})
+					call.on('end', () => done(true))
+					setTimeout(() => done(false), ms)
+				})
+			const both = await heard(['job-000100', 'job-000200'], '', 2000)
+			assert.deepEqual(
+				both.events.map((e) => [e.uid, e.state]),
+				[
+					['job-000100', 'STATE_DONE'],
+					['job-000200', 'STATE_CANCELLED'],
+				],
+			)
+			assert.ok(both.ended, 'nothing is left to tell')
+			const second = await heard(['job-000100', 'job-000200'], both.events[0].cursor, 2000)
+			assert.deepEqual(
+				second.events.map((e) => e.uid),
+				['job-000200'],
+			)
+			const three = ['job-000100', 'job-000200', 'job-000300']
+			const some = await heard(three, '', 600)
+			assert.equal(some.events.length, 2)
+			assert.ok(!some.ended, 'one of them may yet be submitted')
+			const rest = await heard(three, some.events[1].cursor, 600)
+			assert.deepEqual(rest.events, [])
+		},
+		archive,
+	)
+})
