--- a/packages/grpc/src/records.ts
+++ b/packages/grpc/src/records.ts
@@ -1,6 +1,6 @@
 import { asFinal, type Final, FinalsLog, INSTALLATION, recordedDone } from '@heathroad/cluster'
 import type { Hub, OpenJob, Records } from '@heathroad/events'
-import { type Past, pastUid } from '@heathroad/history'
+import { type Past, uidOf } from '@heathroad/history'
 import type { Service, Watcher } from '@heathroad/server'
 import { ROOT, Urgency } from '@heathroad/store'
 
@@ -48,7 +48,7 @@
 
 	/** Read from the archive for a stream that names the job: the latest of those are kept. */
 	recall(past: Past): void {
-		const uid = pastUid(past)
+		const uid = uidOf(past.at)
 		const { aborted, tasks, done, epoch } = past
 		this.recalled.delete(uid)
 		this.recalled.set(uid, { uid, team: '', state: aborted ? 'aborted' : 'done', epoch, tasks, done })
--- a/packages/history/src/recall.ts
+++ b/packages/history/src/recall.ts
@@ -3,7 +3,7 @@
 import { isMap } from '@heathroad/wire'
 import { Effect } from 'effect'
 import { BadLeaf, covers, emptyLevel, type Leaf, type Past, pick, readLeaf, unpack } from './leaf.js'
-import { leafKey, levelPrefix, ordinal, uidOf } from './order.js'
+import { leafKey, levelPrefix, ordinal } from './order.js'
 
 /** What is known of a job that no record in memory names. */
 export type Found =
@@ -285,6 +285,3 @@
 		)
 	}
 }
-
-/** For those who tell it on. */
-export const pastUid = (p: Past): string => uidOf(p.at)
--- a/packages/lab/src/past.ts
+++ b/packages/lab/src/past.ts
@@ -1,4 +1,4 @@
-import { END, type Leaf, leafKey, levelPrefix, type Past, pack, uidOf, writeLeaf } from '@heathroad/history'
+import { END, type Leaf, leafKey, type Past, pack, uidOf, writeLeaf } from '@heathroad/history'
 import { ROOT } from '@heathroad/store'
 import { type StateStandIn, VirtualClock } from '@heathroad/testkit'
 
@@ -100,8 +100,3 @@
 	for (const leaf of leaves) state.put(leafKey(bottom, leaf.to), writeLeaf({ ...leaf, depth: bottom * 6 }))
 	return kept
 }
-
-/** Keys and characters that the archive takes. */
-export const archiveSize = (state: StateStandIn): { keys: number } => ({
-	keys: [1, 2, 3, 4].reduce((sum, level) => sum + state.count(levelPrefix(level)), 0),
-})
--- a/packages/server/src/core.ts
+++ b/packages/server/src/core.ts
@@ -6,6 +6,9 @@
 import type { MachineType } from '@heathroad/wire'
 import type { Effect } from 'effect'
 
+/** What takes longer is given up: users wait 2 s for an answer to a question (protocol). */
+export const ANSWER_MS = 1700
+
 export type LogLevel = 'error' | 'info' | 'debug'
 export type Log = (level: LogLevel, event: string, fields?: Record<string, unknown>) => void
 
--- a/packages/server/src/history.ts
+++ b/packages/server/src/history.ts
@@ -17,7 +17,7 @@
 import { type Content, ROOT, type StoreClient, Urgency, type WriteResult } from '@heathroad/store'
 import { Cause, Effect } from 'effect'
 import { leavable, mayTurn } from './archiving.js'
-import type { Archive, Core } from './core.js'
+import { ANSWER_MS, type Archive, type Core } from './core.js'
 
 /** Keys of the first form that one request of the move reads. */
 const SCAN = 200
@@ -134,7 +134,7 @@
 
 	find(uid: string): Effect.Effect<Found> {
 		return this.recall.find(uid).pipe(
-			Effect.timeoutOption(1700),
+			Effect.timeoutOption(ANSWER_MS),
 			Effect.map((o) => (o._tag === 'Some' ? o.value : 'unsure')),
 		)
 	}
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -32,14 +32,11 @@
 	writeOrders,
 } from '@heathroad/wire'
 import { Effect, Fiber } from 'effect'
-import type { Core, Log, Watcher } from './core.js'
+import { ANSWER_MS, type Core, type Log, type Watcher } from './core.js'
 import { History } from './history.js'
 import { type Call, listen, type Tell } from './http.js'
 import { isForUsers, Users } from './users.js'
 
-/** Users wait 2 s for an answer to a question (protocol). */
-const FRESH_MS = 1700
-
 const LATER: Reply = { status: 503, retryAfterS: 1 }
 
 /** One controller: composes the parts it owns with the state, the cloud, its peers and its HTTP faces. */
@@ -466,7 +463,7 @@
 	/** True once everything durable before the call is in the mirror; false if that takes too long. */
 	fresh(): Effect.Effect<boolean> {
 		return this.mirror.fresh(this.client).pipe(
-			Effect.timeoutOption(FRESH_MS),
+			Effect.timeoutOption(ANSWER_MS),
 			Effect.map((o) => o._tag === 'Some' && o.value),
 		)
 	}
@@ -477,7 +474,7 @@
 		this.unseen.add(one)
 		setTimeout(() => {
 			if (this.unseen.delete(one)) done(false)
-		}, FRESH_MS)
+		}, ANSWER_MS)
 	}
 
 	private tellSeen(): void {
