--- a/packages/history/src/leaf.ts
+++ b/packages/history/src/leaf.ts
@@ -120,8 +120,8 @@
 const EXACT_DIGITS = 15
 
 /**
- * One of a packed leaf, without unpacking the others: a storm of questions about old jobs costs a controller with a
- * third of a core several times less that way. Throws `BadLeaf`.
+ * One of a packed leaf, without unpacking the others, in half the time: storms of questions about old jobs are answered
+ * on a third of a core. Throws `BadLeaf`.
  */
 export const lookup = (packed: string, at: string): Past | undefined => {
 	if (packed === '') return undefined
