Let no record that does not parse stop a controller

Cause: last read of the change: a leaf that cannot be unpacked threw out of a submission, and a malformed page out of what follows the records. Change: such a leaf answers neither yes nor no and is logged, such a page counts as none; both in tests.

--- a/packages/cluster/src/pages.ts
+++ b/packages/cluster/src/pages.ts
@@ -26,6 +26,13 @@
 
 export const asPage = (data: unknown): Page | null => {
 	if (!isMap(data) || typeof data.part !== 'number' || !Array.isArray(data.over)) return null
+	// Checked whole: every controller follows pages, and none may stumble over one that is not as it should be.
+	const fits = (item: unknown) =>
+		Array.isArray(item) &&
+		typeof item[0] === 'number' &&
+		Array.isArray(item[1]) &&
+		item[1].every(Array.isArray)
+	if (!data.over.every(fits)) return null
 	const batches: Batch[] = []
 	for (const item of data.over as [number, unknown[][]][]) {
 		const [epoch, rows] = item
--- a/packages/history/src/recall.ts
+++ b/packages/history/src/recall.ts
@@ -2,7 +2,7 @@
 import { ROOT } from '@heathroad/store'
 import { isMap } from '@heathroad/wire'
 import { Effect } from 'effect'
-import { BadLeaf, covers, emptyLevel, type Leaf, lookup, type Past, readLeaf } from './leaf.js'
+import { covers, emptyLevel, type Leaf, lookup, type Past, readLeaf } from './leaf.js'
 import { leafKey, levelPrefix, ordinal } from './order.js'
 
 /** What is known of a job that no record in memory names. */
@@ -81,7 +81,8 @@
 		for (let level = 1; ; level++) {
 			const kept = this.covering(level, at)
 			if (kept === undefined) return undefined
-			const found = lookup(kept.leaf.packed, at)
+			const found = this.look(kept, at)
+			if (found === 'unsure') return undefined
 			if (found !== undefined) return found
 			if (!kept.leaf.deeper) return undefined
 		}
@@ -138,6 +139,16 @@
 		this.size = 0
 	}
 
+	/** What a kept leaf says of an id; a record that cannot be read says nothing, neither yes nor no. */
+	private look(kept: Kept, at: string): Past | 'unsure' | undefined {
+		try {
+			return lookup(kept.leaf.packed, at)
+		} catch (e) {
+			this.failed(e)
+			return 'unsure'
+		}
+	}
+
 	// ---- leaves that are kept ----
 
 	private covering(level: number, at: string): Kept | undefined {
@@ -194,7 +205,7 @@
 		for (;;) {
 			const kept = this.covering(q.level, q.at)
 			if (kept === undefined) return null
-			const found = lookup(kept.leaf.packed, q.at)
+			const found = this.look(kept, q.at)
 			if (found !== undefined) return found
 			if (kept.readAt < q.since) return null
 			if (!kept.leaf.deeper) return 'absent'
@@ -278,7 +289,7 @@
 			Effect.catch((e) => Effect.sync(() => this.unread(alike, e))),
 			Effect.catchDefect((e) =>
 				Effect.sync(() => {
-					if (!(e instanceof BadLeaf)) this.failed(e)
+					this.failed(e)
 					for (const q of alike) this.settle(q, 'unsure')
 				}),
 			),
--- a/tests/history.test.ts
+++ b/tests/history.test.ts
@@ -18,6 +18,7 @@
 	uidOf,
 	union,
 	unpack,
+	writeLeaf,
 } from '@heathroad/history'
 import { leavable, mayTurn } from '@heathroad/server'
 import { Pace, Refused, ROOT, type StoreClient, type WriteResult } from '@heathroad/store'
@@ -242,6 +243,34 @@
 	assert.equal(store.keys('').length, 0)
 })
 
+test('questions about a record that does not parse get no answer, those about others do', async () => {
+	const store = makeStore()
+	const middle = ordinal('job-500000')
+	const items = [fixed({ at: ordinal('job-700000'), aborted: false, done: 2, tasks: 2, epoch: 3 })]
+	const leaf = { from: '', to: middle, depth: 1, deeper: false, stamp: 0 }
+	const put = (to: string, data: unknown) => store.write([], [{ set: leafKey(1, to), data }])
+	put(middle, writeLeaf({ ...leaf, packed: 'AAAA' }))
+	put('~', writeLeaf({ ...leaf, from: middle, to: '~', packed: pack(items) }))
+	const failures: unknown[] = []
+	const recall = new Recall(
+		store,
+		() => ({ legacy: false, levels: true }),
+		new Pace(0, () => 0),
+		{ cache: 10_000, waiting: 9, run: 4 },
+		(e) => failures.push(e),
+	)
+	for (let twice = 0; twice < 2; twice++) {
+		assert.equal(await Effect.runPromise(recall.find('job-100000')), 'unsure')
+		assert.deepEqual(await Effect.runPromise(recall.find('job-700000')), items[0])
+		assert.equal(recall.known('job-100000'), undefined)
+		assert.equal(recall.proves('job-100000'), false)
+	}
+	assert.ok(failures.every((e) => e instanceof BadLeaf) && failures.length > 0)
+	put('~', 7)
+	recall.reset(0)
+	assert.equal(await Effect.runPromise(recall.find('job-700000')), 'unsure')
+})
+
 test('a read that is refused for its rate is repeated; one that is not answered is told at once', async () => {
 	const store = makeStore()
 	for (const [status, tries, found] of [
--- a/tests/inspect.test.ts
+++ b/tests/inspect.test.ts
@@ -157,6 +157,11 @@
 			[/part\/7: there are 3 parts/],
 		],
 		['a later form', { [`${ROOT}history`]: { form: 3, turn: 1 } }, [/history: is of form 3/]],
+		[
+			'a page of another make',
+			{ [`${ROOT}over/0`]: { part: 0, over: [[1], 7] } },
+			[/over\/0: does not parse/],
+		],
 		[
 			'none of ours',
 			{ [`${ROOT}what`]: 1, 'heathroad.x': 1 },
