--- a/packages/cluster/src/pages.ts
+++ b/packages/cluster/src/pages.ts
@@ -123,6 +123,9 @@
 		return n
 	}
 	const changes: { key: string; data: unknown }[] = []
+	// What cannot be read is set aside as it is: it may hold final states that somebody can still save.
+	if (before !== undefined && held === null)
+		changes.push({ key: closedKey(part, before.stamp), data: before.data })
 	let batches = known?.batches ?? []
 	let taken = most(
 		size,
--- a/packages/server/src/archiving.ts
+++ b/packages/server/src/archiving.ts
@@ -35,7 +35,8 @@
 	const ready: P[] = []
 	let jobs = 0
 	for (const page of pages) {
-		if (!page.jobs.every(free)) continue
+		// A page that cannot be read tells of no jobs, and stays for somebody to look at.
+		if (page.jobs.length === 0 || !page.jobs.every(free)) continue
 		ready.push(page)
 		jobs += page.jobs.length
 		// Two batches are enough for one move: what it writes grows with the ranges that it touches, not with these.
--- a/tests/history.test.ts
+++ b/tests/history.test.ts
@@ -322,6 +322,16 @@
 	assert.equal(seen.length, epochs.size)
 })
 
+test('a page that cannot be read is set aside, not written over, and never leaves', () => {
+	const bad = { part: 0, over: [[1], 7] }
+	const { changes, taken } = append(0, { data: bad, stamp: 9 }, [over(1)], { value: 700, jobs: 9 })
+	assert.equal(taken, 1)
+	assert.deepEqual(changes[0], { key: 'over/0/9', data: bad })
+	assert.equal(asPage(changes[1].data)?.batches.length, 1)
+	const pages = [{ key: 'over/0/9', stamp: 10, jobs: [] }]
+	assert.deepEqual(leavable(pages, 99, new Set(), new Set(), 0), [])
+})
+
 test('what may leave memory, and when a turn begins', () => {
 	const page = (key: string, ...jobs: [uid: string, epoch: number][]) => ({
 		key,
