Merge twins: done tasks of an ended job, room of a value, the stand-ins' machine type

The same count of an ended job stood in four places, the room of a value in three, the machine type in two, the question whether a part is ours was spelt out in five, and a waiting submission's proof was looked up twice.

--- a/packages/cluster/src/finals.ts
+++ b/packages/cluster/src/finals.ts
@@ -1,4 +1,4 @@
-import type { JobRecord } from './records.js'
+import { doneTasks, type JobRecord } from './records.js'
 
 /** A job's final state, and the epoch of the change that made it durable. */
 export interface Final {
@@ -38,7 +38,7 @@
 export const asFinal = (uid: string, record: JobRecord, epoch: number): Final | null => {
 	if (record.final === undefined) return null
 	const tasks = record.tasks ?? 0
-	const done = record.final === 'done' ? tasks : (record.count ?? 0)
+	const done = doneTasks(record)
 	return { uid, team: record.need?.team ?? '', state: record.final, epoch, tasks, done }
 }
 
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -98,6 +98,10 @@
 	return count
 }
 
+/** Done tasks of a job that is over, for display. */
+export const doneTasks = ({ final, tasks, count }: JobRecord): number =>
+	(final === 'done' ? tasks : count) ?? 0
+
 /** A stable number for a name, to spread unclaimed machines and limited teams over parts. */
 export const hash = (name: string): number => {
 	let h = 2166136261
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -226,9 +226,12 @@
 	derived: Derived
 }
 
+/** Characters that a value may have, as JSON, less some for what goes around it. */
+export const valueRoom = (s: Settings): number => s.deployment.state.value_kb * 1024 - 200
+
 /** What a page of final states holds: a value, and no more jobs than go into the archive together. */
 export const pageRoom = (c: Config): { value: number; jobs: number } => ({
-	value: c.settings.deployment.state.value_kb * 1024 - 200,
+	value: valueRoom(c.settings),
 	jobs: (c.history ?? historyDefaults).batch,
 })
 
--- a/packages/inspect/src/check.ts
+++ b/packages/inspect/src/check.ts
@@ -1,4 +1,14 @@
-import { asFleet, asHistory, asIntake, asJob, asPage, asPart, type Ended, FORM } from '@heathroad/cluster'
+import {
+	asFleet,
+	asHistory,
+	asIntake,
+	asJob,
+	asPage,
+	asPart,
+	doneTasks,
+	type Ended,
+	FORM,
+} from '@heathroad/cluster'
 import {
 	covers,
 	deepest,
@@ -164,7 +174,7 @@
 			return
 		}
 		this.over.add(uid)
-		const done = record.final === 'done' ? (record.tasks ?? 0) : (record.count ?? 0)
+		const done = doneTasks(record)
 		if (!this.archived.add(uid)) this.note(uid, { where: key, aborted: record.final === 'aborted', done })
 	}
 
--- a/packages/server/src/history.ts
+++ b/packages/server/src/history.ts
@@ -2,6 +2,7 @@
 	asHistory,
 	asIntake,
 	asJob,
+	doneTasks,
 	type Ended,
 	ended,
 	FORM,
@@ -12,7 +13,7 @@
 	ownRecord,
 	partKey,
 } from '@heathroad/cluster'
-import { historyDefaults, pageRoom } from '@heathroad/config'
+import { historyDefaults, pageRoom, valueRoom } from '@heathroad/config'
 import { type Found, Mover, ordinal, type Past, Recall } from '@heathroad/history'
 import { type Content, ROOT, type StoreClient, Urgency, type WriteResult } from '@heathroad/store'
 import { Cause, Effect } from 'effect'
@@ -219,13 +220,16 @@
 		)
 	}
 
+	private owns(part: number): boolean {
+		return [...this.p.parts()].includes(part)
+	}
+
 	/** Pages of our parts that nothing is added to any more. */
 	private closed(): { part: number; key: string }[] {
-		const mine = [...this.p.parts()]
 		const out: { part: number; key: string }[] = []
 		for (const [key] of this.s.mirror.under('over/')) {
 			const [, k, epoch] = key.split('/')
-			if (epoch !== undefined && mine.includes(this.keeper(Number(k)))) out.push({ part: Number(k), key })
+			if (epoch !== undefined && this.owns(this.keeper(Number(k)))) out.push({ part: Number(k), key })
 		}
 		return out.sort((a, b) => a.key.length - b.key.length || (a.key < b.key ? -1 : 1))
 	}
@@ -238,10 +242,9 @@
 	/** Jobs that keep the records of others get keys of their own, a few at a time. */
 	private unpin(): void {
 		const { jobs, mirror, config } = this.s
-		const mine = new Set(this.p.parts())
 		let left = Math.ceil(config.derived.writesPerS * this.settings.share * (config.derived.grantMs / 500))
 		for (const [uid, record] of jobs.pinning(this.turn())) {
-			if (!mine.has(record.part)) continue
+			if (!this.owns(record.part)) continue
 			if (left-- <= 0) return
 			this.submit(Urgency.progress, () => {
 				const known = jobs.get(uid)
@@ -280,15 +283,15 @@
 	) {
 		const { mirror, config, log } = this.s
 		const keeper = this.keeper(part)
-		const mine = () => !this.stopped && [...this.p.parts()].includes(keeper)
+		const mine = () => !this.stopped && this.owns(keeper)
 		const owning = () => ({ key: ROOT + partKey(keeper), stamp: mirror.stamp(partKey(keeper)) })
-		const { value_kb, txn_ops } = config.settings.deployment.state
+		const { txn_ops } = config.settings.deployment.state
 		const mover = new Mover({
 			client: this.client,
 			write: (conditions, changes) => this.write({ conditions: [owning(), ...conditions], changes }),
 			pace: (changes) => this.pace(changes),
 			mine,
-			room: { ops: txn_ops, value: value_kb * 1024 - 200, bytes: 40 * 1024 },
+			room: { ops: txn_ops, value: valueRoom(config.settings), bytes: 40 * 1024 },
 		})
 		const items: Past[] = pages
 			.flatMap((p) => p.jobs)
@@ -342,12 +345,11 @@
 					left++
 					const part = this.keeper(record.part)
 					const tasks = record.tasks ?? 0
-					const done = record.final === 'done' ? tasks : (record.count ?? 0)
 					const job = ended(
 						uid,
 						record.final,
 						{ team: '', cpus: 0, gpus: 0, ramGb: 0, ...record.need, tasks },
-						done,
+						doneTasks(record),
 					)
 					mine.set(part, [...(mine.get(part) ?? []), { job, stamp: e.stamp }])
 				}
@@ -355,7 +357,7 @@
 					for (let rest = mine.get(part) ?? []; rest.length > 0; ) {
 						const some = rest.slice(0, most)
 						yield* this.pace(some.length + 1)
-						if (this.stopped || ![...this.p.parts()].includes(part)) break
+						if (this.stopped || !this.owns(part)) break
 						let taken = 0
 						const result = yield* Effect.callback<WriteResult>((resume) => {
 							this.submit(
--- a/packages/server/src/intake.ts
+++ b/packages/server/src/intake.ts
@@ -1,4 +1,5 @@
 import { acceptance, type JobRecord } from '@heathroad/cluster'
+import { valueRoom } from '@heathroad/config'
 import { rank } from '@heathroad/policy'
 import { type Content, Urgency, type Write } from '@heathroad/store'
 import type { JobSpec } from '@heathroad/wire'
@@ -91,9 +92,11 @@
 			new Set(this.waiting.filter((w) => this.s.jobs.get(w.record.spec.uid) !== undefined)),
 			'unclear',
 		)
-		for (const w of this.waiting) if (!this.proven(w)) this.prove(w)
-		return this.waiting
-			.filter((w) => this.proven(w))
+		const ready: Waiting[] = []
+		for (const w of this.waiting)
+			if (this.proven(w)) ready.push(w)
+			else this.prove(w)
+		return ready
 			.map((w, i) => ({ w, i, rank: rank(w.record.spec.priority) }))
 			.sort((a, b) => b.rank - a.rank || a.i - b.i)
 			.map((x) => {
@@ -108,8 +111,9 @@
 
 	/** The first of those waiting, as many as one value and the conditions of one transaction hold. */
 	private batch(): Waiting[] {
-		const { value_kb, txn_ops } = this.s.config.settings.deployment.state
-		let room = value_kb * 1024 - 200
+		const { settings } = this.s.config
+		const { txn_ops } = settings.deployment.state
+		let room = valueRoom(settings)
 		const out: Waiting[] = []
 		for (const w of this.inTurn()) {
 			room -= w.bytes
--- a/packages/server/src/users.ts
+++ b/packages/server/src/users.ts
@@ -1,4 +1,5 @@
 import {
+	doneTasks,
 	ended,
 	finalStates,
 	HISTORY,
@@ -54,10 +55,9 @@
 
 	private answer(uid: string, record: JobRecord): Reply {
 		const body: JobAnswer = { uid, status: 'pending', done: 0, running: 0 }
-		const total = record.tasks ?? 0
 		if (record.final !== undefined) {
 			body.status = record.final
-			body.done = record.final === 'done' ? total : (record.count ?? 0)
+			body.done = doneTasks(record)
 			return { status: 200, body }
 		}
 		const job = this.s.part(record.part)?.jobs.get(uid)
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -73,20 +73,19 @@
 /** A day is short: what takes hours otherwise happens within minutes. */
 const SMALL_HISTORY: HistorySettings = { batch: 10, share: 0.5, cacheMb: 0.1 }
 
-const TYPES: readonly MachineType[] = [
-	{
-		name: 'box',
-		cpus: 8,
-		gpus: 0,
-		ramGb: 32,
-		cacheGb: 20,
-		fetchGbPerS: 1,
-		price: 1,
-		spotPrice: 0.3,
-		bootS: 10,
-		zones: ['a', 'b'],
-	},
-]
+/** The machine type of the stand-ins' cloud. */
+export const BOX: MachineType = {
+	name: 'box',
+	cpus: 8,
+	gpus: 0,
+	ramGb: 32,
+	cacheGb: 20,
+	fetchGbPerS: 1,
+	price: 1,
+	spotPrice: 0.3,
+	bootS: 10,
+	zones: ['a', 'b'],
+}
 
 /** stands for an error of a controller's own */
 const OWN_ERROR = 'made by the day'
@@ -152,7 +151,7 @@
 		)
 		this.cloud = new CloudStandIn(
 			this.clock,
-			TYPES,
+			[BOX],
 			capacity,
 			(id, type, zone, spot) => this.workers.set(id, this.worker(id, type, zone, spot)),
 			(id) => {
@@ -373,7 +372,7 @@
 
 	/** Begins a day in real time; machines that are up before stay up. */
 	begin(): void {
-		this.cloud.alreadyUp(this.day.up ?? 0, TYPES[0], 'a')
+		this.cloud.alreadyUp(this.day.up ?? 0, BOX, 'a')
 		for (let i = 0; i < this.names.length; i++) this.boot(i)
 	}
 
@@ -516,7 +515,7 @@
 	async play(): Promise<void> {
 		if (!(this.clock instanceof VirtualClock)) throw new Error('a day is played in virtual time')
 		await this.clock.run(this.day.untilS * 1000, () => {
-			this.cloud.alreadyUp(this.day.up ?? 0, TYPES[0], 'a')
+			this.cloud.alreadyUp(this.day.up ?? 0, BOX, 'a')
 			for (let i = 0; i < this.names.length; i++)
 				this.clock.after(this.clock.between(0, 300), () => this.boot(i))
 			for (const job of this.day.jobs) this.user(job)
