Keep machines that have yet to report as a cut ends

Change: half a lease of silence counts from the end of the time in which many were silent; what silence says is a module of its own.

--- a/packages/controller/src/part.ts
+++ b/packages/controller/src/part.ts
@@ -16,11 +16,9 @@
 import { Planner } from './planner.js'
 import { Progress } from './progress.js'
 import { Renter } from './renter.js'
+import { Silence } from './silence.js'
 import { PartState } from './state.js'
 
-/** Where many machines are silent together they are returned only after so many leases. */
-const MANY_SILENT_LEASES = 3
-
 /** The most machines that one call to the cloud may release (protocol). */
 const PER_RELEASE = 100
 
@@ -46,6 +44,7 @@
 	private readonly planner: Planner
 	private readonly progress: Progress
 	private readonly faults: Faults
+	private readonly silence: Silence
 	/** machines that may hold tasks of a former owner's and have not reported under our token yet */
 	private readonly unconfirmed = new Set<string>()
 	/** first reports that wait for their answer, by machine */
@@ -53,9 +52,7 @@
 	private claims = 0
 	private probes = 0
 	private readonly takenAt: number
-	private listeningSince: number
 	private lastRentLook = 0
-	private lastTick: number
 
 	constructor(
 		readonly k: number,
@@ -69,9 +66,8 @@
 		this.planner = new Planner(this.s, this.renter)
 		this.progress = new Progress(this.s)
 		this.faults = new Faults(this.s)
+		this.silence = new Silence(this.s)
 		this.takenAt = ports.now()
-		this.listeningSince = this.takenAt
-		this.lastTick = this.takenAt
 		const intents: [string, FleetRecord][] = []
 		for (const [key, e] of ports.under('fleet/')) {
 			const record = asFleet(e.data)
@@ -563,12 +559,9 @@
 		const now = this.ports.now()
 		const d = this.config.derived
 		const right = this.ports.right()
-		// While the process stood still it heard nobody: that is no silence of the machines'.
-		if (right === 'none' || now - this.lastTick > d.grantMs * 0.2) this.listeningSince = now
-		this.lastTick = now
+		this.silence.look(now, right)
 		if (right === 'none') return
 		const toRelease: Machine[] = []
-		const few = this.silent(now) * 2.5 <= this.machines.size
 		const holding = new Set<JobRun | null>()
 		const waiting = this.s.waits(now)
 		for (const m of this.machines.values()) {
@@ -578,7 +571,7 @@
 				if (now >= m.releaseAgainAt) toRelease.push(m)
 				continue
 			}
-			if (this.checkSilence(m, now, few)) toRelease.push(m)
+			if (this.checkSilence(m, now)) toRelease.push(m)
 			else if (!m.up) {
 				// A few never come up; they cost money until they are deleted.
 				if (now - m.knownAt > Math.max(this.s.boots.returnedMs(m.type), d.leaseMs)) {
@@ -599,7 +592,8 @@
 				else if (m.leaving !== null && m.noticeUntil === null) toRelease.push(m)
 			}
 		}
-		if (now - this.lastRentLook >= Math.max(200, d.reportMs / 6)) {
+		const everyMs = Math.max(200, d.reportMs / 6)
+		if (now - this.lastRentLook >= everyMs) {
 			this.lastRentLook = now
 			this.s.queueDirty = true
 			this.plan(this.machines.values())
@@ -649,22 +643,14 @@
 		this.release(blocking)
 	}
 
-	/**
-	 * A machine whose lease must have ended runs nothing any more: its tasks may go elsewhere. It is returned if it
-	 * stays silent while we listened all the time: after half its lease if few are silent, since the confirmed
-	 * release proves its tasks absent sooner than the lease; much later if many are, as then it is rather a cut that
-	 * ends, and what was returned would have to be rented, booted and filled with images again (incident 15). True:
-	 * return it now.
-	 */
-	private checkSilence(m: Machine, now: number, few: boolean): boolean {
+	/** A machine whose lease must have ended runs nothing any more: its tasks may go elsewhere. True: return it now. */
+	private checkSilence(m: Machine, now: number): boolean {
 		const d = this.config.derived
 		if (!m.up) return false
 		if (now - m.answeredAt > d.reportMs * 3)
 			for (const a of [...m.attempts.values()]) if (a.state === 'planned') this.s.dropAttempt(m, a)
 		if (now - m.answeredAt > d.leaseMs) this.leaseOver(m)
-		const silentMs = now - Math.max(m.answeredAt, this.listeningSince)
-		if (silentMs < (few ? Math.max(d.reportMs * 3, d.leaseMs * 0.5) : d.leaseMs * MANY_SILENT_LEASES))
-			return false
+		if (!this.silence.over(m, now)) return false
 		m.leaving ??= 'silent'
 		return true
 	}
@@ -704,7 +690,7 @@
 	 * wait for that machine before any old job goes on, while we know what it holds (incident 6).
 	 */
 	quiet(): boolean {
-		return this.s.settled && this.silent(this.ports.now()) === 0
+		return this.s.settled && this.silence.missing(this.ports.now()) === 0
 	}
 
 	/** What a team's tasks use here. */
@@ -720,44 +706,14 @@
 		return uids
 	}
 
-	/** Machines that missed two reports while we listened, if they are two thirds of the part at least; else 0. */
+	/** See `Silence.unheard`. */
 	unheard(): number {
-		if (!this.s.settled) return 0
-		const before = this.ports.now() - this.config.derived.reportMs * 2.5
-		let used = 0
-		let unheard = 0
-		for (const m of this.machines.values()) {
-			if (!m.used) continue
-			used++
-			if (Math.max(m.answeredAt, this.listeningSince) < before) unheard++
-		}
-		return unheard >= 2 && unheard * 3 >= used * 2 ? unheard : 0
+		return this.silence.unheard()
 	}
 
-	/**
-	 * Are most of its machines out of reach: not accounted for since the part was taken, or silent? Not right after the
-	 * take, when all of them are still to be asked.
-	 */
+	/** See `Silence.stranded`. */
 	stranded(): boolean {
-		const now = this.ports.now()
-		if (now - this.takenAt < this.config.derived.grantMs * 0.4) return false
-		const before = now - this.config.derived.reportMs * 2.5
-		let used = 0
-		let away = 0
-		for (const m of this.machines.values()) {
-			if (!m.used) continue
-			used++
-			if (this.unconfirmed.has(m.id) || Math.max(m.answeredAt, this.listeningSince) < before) away++
-		}
-		return away >= 2 && away * 3 >= used * 2
-	}
-
-	/** Machines that missed a report. */
-	private silent(now: number): number {
-		let n = 0
-		for (const m of this.machines.values())
-			if (m.used && now - m.answeredAt > this.config.derived.reportMs * 1.5) n++
-		return n
+		return this.silence.stranded(this.unconfirmed)
 	}
 
 	/** Jobs cancelled while we were cut off from the state, told by a member that was not. */
--- /dev/null
+++ b/packages/controller/src/silence.ts
@@ -0,0 +1,80 @@
+import type { Machine } from './model.js'
+import type { PartState } from './state.js'
+
+/** Where many machines are silent together they are returned only after so many leases. */
+const MANY_SILENT_LEASES = 3
+
+/** Two fifths of a part's machines silent at once are many: that is rather a cut, which ends, than so many deaths. */
+const isMany = (silent: number, machines: number): boolean => silent * 2.5 > machines
+
+/** What the silence of a part's machines says, and what it does not. */
+export class Silence {
+	private readonly takenAt: number
+	/** since when we have listened without a break */
+	private listeningSince: number
+	/** the last moment at which many were silent together */
+	private manyAt = Number.NEGATIVE_INFINITY
+	private lastLook: number
+
+	constructor(private readonly s: PartState) {
+		this.takenAt = s.ports.now()
+		this.listeningSince = this.takenAt
+		this.lastLook = this.takenAt
+	}
+
+	/** The regular look. */
+	look(now: number, right: 'grant' | 'promise' | 'none'): void {
+		// While the process stood still it heard nobody: that is no silence of the machines'.
+		if (right === 'none' || now - this.lastLook > this.s.config.derived.grantMs * 0.2)
+			this.listeningSince = now
+		this.lastLook = now
+		if (isMany(this.missing(now), this.s.machines.size)) this.manyAt = now
+	}
+
+	/**
+	 * Is a machine to be returned? After half its lease of silence if few are silent, since the confirmed release proves
+	 * its tasks absent sooner than the lease. Much later if many are: what is returned has to be rented, booted and filled
+	 * with images again (incident 15). Half a lease counts from the end of such a time: as the first come back those
+	 * that have yet to report are few all at once, and each would be returned as it comes (incident 19).
+	 */
+	over(m: Machine, now: number): boolean {
+		const { reportMs, leaseMs } = this.s.config.derived
+		const heard = Math.max(m.answeredAt, this.listeningSince)
+		if (now - heard >= leaseMs * MANY_SILENT_LEASES) return true
+		return now - Math.max(heard, this.manyAt) >= Math.max(reportMs * 3, leaseMs * 0.5)
+	}
+
+	/** Machines that missed a report. */
+	missing(now: number): number {
+		const before = now - this.s.config.derived.reportMs * 1.5
+		let n = 0
+		for (const m of this.s.machines.values()) if (m.used && m.answeredAt < before) n++
+		return n
+	}
+
+	/** Machines that missed two reports while we listened, if they are two thirds of the part at least; else 0. */
+	unheard(): number {
+		return this.s.settled ? this.most(() => false) : 0
+	}
+
+	/**
+	 * Are most of the machines out of reach: not accounted for since the part was taken, or silent? Not right after the
+	 * take, when all of them are still to be asked.
+	 */
+	stranded(unconfirmed: ReadonlySet<string>): boolean {
+		if (this.s.ports.now() - this.takenAt < this.s.config.derived.grantMs * 0.4) return false
+		return this.most((m) => unconfirmed.has(m.id)) > 0
+	}
+
+	private most(or: (m: Machine) => boolean): number {
+		const before = this.s.ports.now() - this.s.config.derived.reportMs * 2.5
+		let used = 0
+		let away = 0
+		for (const m of this.s.machines.values()) {
+			if (!m.used) continue
+			used++
+			if (or(m) || Math.max(m.answeredAt, this.listeningSince) < before) away++
+		}
+		return away >= 2 && away * 3 >= used * 2 ? away : 0
+	}
+}
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -14,30 +14,47 @@
 	return out
 }
 
-test('machines that are silent together are kept (incident 15)', async () => {
-	const world = new World({
-		seed: 41,
-		untilS: 320,
-		capacity: 12,
-		jobs: Array.from({ length: 24 }, (_, i) => ({
-			atS: 1 + i * 0.5,
-			spec: sweep(`job-0008${String(i).padStart(2, '0')}`, { tasks: 16, expectedS: 40 }),
-		})),
-		// Two leases: longer than the tasks of the silent ones stay theirs, shorter than they are given up.
-		troubles: [{ atS: 45, kind: 'machinesCut', forS: 20 }],
-	})
-	const silent = releases(world, 'silent')
-	let cut = 0
-	world.clock.after(45_500, () => {
-		cut = Math.floor(world.workers.size / 2)
+const cuts: { name: string; report: { reportS: number; leaseS: number; cancelS: number }; forS: number }[] = [
+	// Two leases: longer than the tasks of the silent ones stay theirs, shorter than they are given up.
+	{
+		name: 'kept while it lasts (incident 15)',
+		report: { reportS: 1, leaseS: 10, cancelS: 30 },
+		forS: 20,
+	},
+	// They come back one after the other over a report period: the last of them are not returned for being few.
+	{
+		name: 'kept as they come back (incident 19)',
+		report: { reportS: 4, leaseS: 16, cancelS: 40 },
+		forS: 40,
+	},
+]
+
+for (const { name, report, forS } of cuts)
+	test(`machines that are silent together are ${name}`, async () => {
+		const world = new World({
+			seed: 41,
+			untilS: 320,
+			capacity: 12,
+			report,
+			jobs: Array.from({ length: 24 }, (_, i) => ({
+				atS: 1 + i * 0.5,
+				spec: sweep(`job-0008${String(i).padStart(2, '0')}`, { tasks: 16, expectedS: 40 }),
+			})),
+			troubles: [{ atS: 45, kind: 'machinesCut', forS }],
+		})
+		const silent = releases(world, 'silent')
+		let cut = 0
+		world.clock.after(45_500, () => {
+			cut = Math.floor(world.workers.size / 2)
+		})
+		await world.play()
+		assert.deepEqual(world.rules.broken, [])
+		assert.deepEqual(world.rules.unfinished(), [], 'every job ends')
+		// A part of which fewer than two fifths are silent returns them: those are few.
+		const until = 45 + forS + report.reportS * 1.5
+		const early = silent.filter((r) => r.atS > 45 && r.atS < until).reduce((n, r) => n + r.machines, 0)
+		assert.ok(cut >= 10 && early * 3 <= cut, `${early} of ${cut} machines were returned`)
 	})
-	await world.play()
-	assert.deepEqual(world.rules.broken, [])
-	assert.deepEqual(world.rules.unfinished(), [], 'every job ends')
-	// A part of which fewer than two fifths are silent returns them: those are few.
-	const early = silent.filter((r) => r.atS > 45 && r.atS < 66).reduce((n, r) => n + r.machines, 0)
-	assert.ok(cut >= 10 && early * 3 <= cut, `${early} of ${cut} machines were returned during the cut`)
-})
 
 test('many machines and all controllers restart together: work is bounded by counts, no lease is lost', async () => {
 	const tasks = 40 * 130
