Move waiting jobs to a part that serves them better by far

Need: a zone's cut left the jobs of a part waiting for machines out of reach, while other parts rented for less work. Change: a job of which nothing can be anywhere goes to another part by one change of its own key, conditional on the ownership; a part starts nothing before it knows the records up to its take.

--- a/packages/cluster/src/writes.ts
+++ b/packages/cluster/src/writes.ts
@@ -40,6 +40,21 @@
 	changes: [{ set: ROOT + jobKey(uid), data }, ...more],
 })
 
+/**
+ * A job goes to another part. Whatever else decides about it changes its own key or who owns its part, so one that is
+ * carried out late undoes nothing.
+ */
+export const relocation = (
+	known: Known,
+	owning: Condition,
+	uid: string,
+	job: { record: JobRecord; stamp: number },
+	to: number,
+): Content => {
+	const { conditions, changes } = ownRecord(known, uid, job.stamp, { ...job.record, part: to })
+	return { conditions: [owning, ...conditions], changes }
+}
+
 /**
  * Final states of a part's jobs. Outcomes and cancellations alike change the part's page on condition of its stamp:
  * of two that were made without knowing each other only one is carried out, and none that is late.
--- a/packages/controller/src/model.ts
+++ b/packages/controller/src/model.ts
@@ -82,6 +82,10 @@
 	write: Write | null = null
 	lastWrite = 0
 	notBefore = 0
+	/** since when it has been in this part, steady time in ms */
+	arrivedAt = 0
+	/** on its way to another part: nothing of it may start here */
+	moving = false
 	/** see `orderRank` */
 	rank = 0
 	/** by what ages its tasks have to start for its objectives */
@@ -143,6 +147,8 @@
 	suspected(uid: string): boolean
 	/** what a team with a guarantee uses in the other parts */
 	usedElsewhere(part: number, team: string): { cpus: number; gpus: number }
+	/** says of waiting jobs of a part which other part would serve them better by far, given those on their way already */
+	leaver(part: number, leaving: readonly { spec: JobSpec; to: number }[]): (spec: JobSpec) => number | null
 	/** jobs without a final state */
 	openJobs(): Iterable<string>
 	wrote(key: string, data: unknown, stamp: number): void
@@ -151,6 +157,10 @@
 	raise(w: Write, urgency: number): void
 	/** brings the mirror up to date, then calls back */
 	refresh(done: () => void): void
+	/** once everything durable before the call is in the mirror; false if that could not be proven in time */
+	fresh(done: (ok: boolean) => void): void
+	/** up to which epoch the records are known */
+	epoch(): number
 	command(
 		addr: string,
 		token: number,
--- a/packages/controller/src/part.ts
+++ b/packages/controller/src/part.ts
@@ -13,6 +13,7 @@
 import { Faults } from './faults.js'
 import { Fleet } from './fleet.js'
 import { type Attempt, graceS, JobRun, type Machine, type Ports } from './model.js'
+import { Moves } from './moves.js'
 import { Planner } from './planner.js'
 import { Progress } from './progress.js'
 import { Renter } from './renter.js'
@@ -44,6 +45,7 @@
 	private readonly planner: Planner
 	private readonly progress: Progress
 	private readonly faults: Faults
+	private readonly moves: Moves
 	private readonly silence: Silence
 	/** machines that may hold tasks of a former owner's and have not reported under our token yet */
 	private readonly unconfirmed = new Set<string>()
@@ -66,6 +68,7 @@
 		this.planner = new Planner(this.s, this.renter)
 		this.progress = new Progress(this.s)
 		this.faults = new Faults(this.s)
+		this.moves = new Moves(this.s)
 		this.silence = new Silence(this.s)
 		this.takenAt = ports.now()
 		const intents: [string, FleetRecord][] = []
@@ -139,10 +142,13 @@
 		}
 	}
 
-	/** A job's record changed: accepted, cancelled, or our own write seen again. */
+	/** A job's record changed: accepted, cancelled, moved to another part, or our own write seen again. */
 	jobChanged(uid: string, record: JobRecord, settled = true): void {
-		if (record.part !== this.k) return
 		const known = this.jobs.get(uid)
+		if (record.part !== this.k) {
+			if (known !== undefined) this.jobLeft(known)
+			return
+		}
 		if (record.final !== undefined) {
 			if (known !== undefined && !known.over) this.closeJob(known, record.final)
 			return
@@ -159,6 +165,7 @@
 		}
 		job.durable = job.done.copy()
 		job.lastWrite = this.ports.now()
+		job.arrivedAt = job.lastWrite
 		job.suspectBefore = this.ports.suspected(uid)
 		if (settled) {
 			job.ready = Ranges.full(spec.tasks)
@@ -193,6 +200,14 @@
 		if (job.placed.size === 0) this.s.jobs.delete(job.spec.uid)
 	}
 
+	/** It belongs to another part from now on, and nothing of it was anywhere here when that was decided. */
+	private jobLeft(job: JobRun): void {
+		for (const a of [...job.placed.values()]) if (a.state === 'planned') this.s.dropAttempt(a.machine, a)
+		for (const a of job.placed.values()) a.stray = true
+		this.s.jobs.delete(job.spec.uid)
+		this.s.queueDirty = true
+	}
+
 	/** Cancelled: tell the machines directly as well, their next reports may be a while off. */
 	private killNow(job: JobRun): void {
 		const holders = new Map<Machine, Order[]>()
@@ -601,6 +616,7 @@
 			this.planner.preempt(now)
 			this.planner.pack(now)
 			this.renter.rent(now, toRelease.length > 0)
+			this.moves.look(now, everyMs)
 		}
 		if (toRelease.length > 0 && right === 'grant' && this.renter.mayRelease()) this.release(toRelease)
 		else for (const m of toRelease) if (m.leaving === 'idle' && !m.releasing) m.leaving = null
--- a/packages/controller/src/planner.ts
+++ b/packages/controller/src/planner.ts
@@ -45,6 +45,8 @@
 	plan(machines: Iterable<Machine>): void {
 		const now = this.s.ports.now()
 		if (this.s.stopped || this.s.ports.right() === 'none') return
+		// Jobs may have moved to other parts by changes before our take that are not known here yet.
+		if (this.s.ports.epoch() < this.s.token) return
 		let open: Machine[] = []
 		for (const m of machines)
 			if (m.free.cpus + m.free.gpus > 1e-9 && m.free.ramGb > 1e-9 && this.s.usable(m, now)) open.push(m)
--- a/packages/controller/src/state.ts
+++ b/packages/controller/src/state.ts
@@ -279,7 +279,8 @@
 
 	/** Ordered jobs with tasks that may start now. */
 	*waiting(now: number): Iterable<JobRun> {
-		for (const job of this.ordered()) if (job.ready.size > 0 && !job.over && job.notBefore <= now) yield job
+		for (const job of this.ordered())
+			if (job.ready.size > 0 && !job.over && !job.moving && job.notBefore <= now) yield job
 	}
 
 	/** Does anything wait that room is made for? */
--- a/packages/policy/src/parting.ts
+++ b/packages/policy/src/parting.ts
@@ -8,6 +8,9 @@
 	stranded: boolean
 }
 
+const room = (p: PartRoom, least: number, largest: number): number =>
+	p.stranded ? Math.max(1, largest) : Math.max(least, p.cpus)
+
 /**
  * The roomiest part: the least work for the CPUs it has. A part counts as having one machine of the largest type at
  * least, since it can rent one; while the cloud fills what is asked (`grows`), any part can rent as well as the others
@@ -25,8 +28,21 @@
 	const all = parts.reduce((n, p) => n + (p.stranded ? 0 : p.cpus), 0)
 	const reached = parts.filter((p) => !p.stranded).length
 	const least = Math.max(1, largest, grows && reached > 0 ? all / reached : 0)
-	const wait = (p: PartRoom) => p.work / (p.stranded ? Math.max(1, largest) : Math.max(least, p.cpus))
+	const wait = (p: PartRoom) => p.work / room(p, least, largest)
 	let best = first
 	for (const [k, p] of parts.entries()) if (wait(p) < wait(parts[best])) best = k
 	return best
 }
+
+/** A job that waits moves only where it would wait less than this part of the time. */
+const MOVE_WAITS = 1 / 3
+
+/**
+ * Is it worth moving a waiting job from its part to a roomier one? From a part whose machines are out of reach in any case:
+ * nothing of it runs there until they are back, which nobody knows the time of. Otherwise only for much less of a wait,
+ * since a move costs a change of the state, and parts that are nearly alike would hand jobs to and fro.
+ */
+export const worthMoving = (from: PartRoom, to: PartRoom, largest: number): boolean => {
+	if (to.stranded) return false
+	return from.stranded || to.work / room(to, 1, largest) < (from.work / room(from, 1, largest)) * MOVE_WAITS
+}
--- a/packages/server/src/core.ts
+++ b/packages/server/src/core.ts
@@ -5,6 +5,7 @@
 import type { Mirror, Writer } from '@heathroad/store'
 import type { MachineType } from '@heathroad/wire'
 import type { Effect } from 'effect'
+import type { Parting } from './parting.js'
 
 /** What takes longer is given up: users wait 2 s for an answer to a question (protocol). */
 export const ANSWER_MS = 1700
@@ -36,6 +37,7 @@
 	readonly fleets: Fleets
 	readonly capacity: CapacityBook
 	readonly history: Archive
+	readonly parting: Parting
 	catalog(): readonly MachineType[]
 	/** the parts that this controller owns */
 	part(k: number): Part | undefined
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -35,6 +35,7 @@
 import { ANSWER_MS, type Core, type Log, type Watcher } from './core.js'
 import { History } from './history.js'
 import { type Call, listen, type Tell } from './http.js'
+import { Parting } from './parting.js'
 import { isForUsers, Users } from './users.js'
 
 const LATER: Reply = { status: 503, retryAfterS: 1 }
@@ -70,6 +71,7 @@
 	private fibers: Fiber.Fiber<unknown, unknown>[] = []
 	private timers: ReturnType<typeof setInterval>[] = []
 	private servers: http.Server[] = []
+	readonly parting: Parting
 	private readonly users: Users
 	/** follows the records for others; nobody does unless settings ask for it */
 	watcher: Watcher | null = null
@@ -133,6 +135,7 @@
 				this.onTooNew(why)
 			},
 		})
+		this.parting = new Parting(this)
 		this.users = new Users(this)
 	}
 
@@ -305,7 +308,8 @@
 
 	private jobChanged(uid: string, record: JobRecord): void {
 		if (record.final === 'aborted') this.cancelledLately.push({ uid, part: record.part, at: this.now() })
-		this.parts.get(record.part)?.jobChanged(uid, record)
+		// The part that it was in, too, if it moved.
+		for (const p of this.parts.values()) p.jobChanged(uid, record)
 		this.watcher?.jobChanged(uid)
 	}
 
@@ -427,7 +431,10 @@
 			},
 			raise: (w, urgency) => this.writer.raise(w, urgency),
 			job: (uid) => this.jobs.get(uid),
+			fresh: (done) => this.whenFresh(done),
+			epoch: () => this.mirror.epoch,
 			usedElsewhere: (part, team) => this.usedElsewhere(part, team),
+			leaver: (part, leaving) => this.parting.leaver(part, leaving),
 			suspected: (uid) => this.members.peers.some((p) => p.news?.suspect.includes(uid)),
 			openJobs: () => this.jobs.open,
 			refresh: (done) => this.refresh(done),
--- a/packages/server/src/users.ts
+++ b/packages/server/src/users.ts
@@ -3,14 +3,13 @@
 	ended,
 	finalStates,
 	HISTORY,
-	hash,
 	type JobRecord,
 	ownRecord,
 	recordedDone,
 } from '@heathroad/cluster'
 import { pageRoom } from '@heathroad/config'
 import type { Past } from '@heathroad/history'
-import { allOffers, allowed, canEverRun, offerKey, rank, roomiest, withinLimit } from '@heathroad/policy'
+import { canEverRun, withinLimit } from '@heathroad/policy'
 import { type Content, ROOT, Urgency, type WriteResult } from '@heathroad/store'
 import { type JobAnswer, type JobSpec, Malformed, type Reply, readSubmission, UID } from '@heathroad/wire'
 import { Effect } from 'effect'
@@ -62,7 +61,7 @@
 		}
 		const job = this.s.part(record.part)?.jobs.get(uid)
 		body.done = job !== undefined && !job.over ? job.done.size : this.recordedDone(uid, record)
-		body.running = this.running(uid, record)
+		body.running = this.s.parting.running(uid, record)
 		if (body.running > 0) body.status = 'running'
 		return { status: 200, body }
 	}
@@ -198,7 +197,7 @@
 			for (const one of this.accepting.get(uid) ?? []) one(told)
 			this.accepting.delete(uid)
 		}
-		const record = { part: this.choosePart(spec), spec, at: Date.now() }
+		const record = { part: this.s.parting.choose(spec), spec, at: Date.now() }
 		this.intake.accept(record, INTAKE_MS, (how) => {
 			if (how === 'accepted') {
 				const { jobClass, team, priority, tasks, cpus, expectedS, checkpointS } = spec
@@ -228,50 +227,4 @@
 			return `more than the limit of team ${spec.team}`
 		return null
 	}
-
-	/** Tasks of an open job that run, as its owner knows or last told. */
-	private running(uid: string, record: JobRecord): number {
-		const job = this.s.part(record.part)?.jobs.get(uid)
-		if (job !== undefined) return job.over ? 0 : job.runningCount()
-		const owner = this.s.members.peers.find((p) => p.name === this.s.ownerName(record.part))
-		return Number(owner?.news?.running[uid] ?? 0)
-	}
-
-	/**
-	 * The roomiest part: the least unfinished work that goes before the job for the CPUs it has. Work of lower priority
-	 * counts only where it runs: a guest's vast idle array waits behind the job, and counted in full it would send all
-	 * new work to the one part that has none of it, however few machines that has (incident 12). A team with a limit
-	 * stays in one part, which then keeps it.
-	 */
-	private choosePart(spec: JobSpec): number {
-		const parts = this.s.config.derived.names.length
-		const team = this.s.config.settings.deployment.teams.find((t) => t.name === spec.team)
-		if (team !== undefined && (team.cpus_max > 0 || team.gpus_max > 0)) return hash(spec.team) % parts
-		const types = this.s.catalog()
-		const cpus = new Array<number>(parts).fill(0)
-		for (const f of this.s.fleets.records.values()) {
-			const machines = f.asked + Object.keys(f.hosts).length
-			if (f.part < parts) cpus[f.part] += machines * (types.find((t) => t.name === f.type)?.cpus ?? 0)
-		}
-		const grows = allOffers(types).some((o) => allowed(spec, o) && !this.s.capacity.refusedLast(offerKey(o)))
-		const largest = Math.max(1, ...types.map((t) => t.cpus))
-		const amount = (s: JobSpec, tasks: number) => tasks * Math.max(0.1, s.cpus) * Math.max(1, s.expectedS)
-		const work = new Array<number>(parts).fill(amount(spec, spec.tasks))
-		const suspects = this.s.suspects()
-		for (const uid of this.s.jobs.open) {
-			// It gets one trial at a time: no work to speak of.
-			if (suspects.has(uid)) continue
-			const record = this.record(uid)
-			if (record?.spec === undefined || record.part >= parts) continue
-			const before = rank(record.spec.priority) >= rank(spec.priority)
-			const tasks = before
-				? record.spec.tasks - this.recordedDone(uid, record)
-				: this.running(uid, record) / 2
-			work[record.part] += amount(record.spec, tasks)
-		}
-		const stranded = this.s.stranded()
-		const rooms = cpus.map((n, k) => ({ cpus: n, work: work[k], stranded: stranded.has(k) }))
-		// Ties are broken by the job's name, so that first jobs at several controllers spread.
-		return roomiest(rooms, largest, grows, hash(spec.uid) % parts)
-	}
 }
--- a/packages/testkit/src/clock.ts
+++ b/packages/testkit/src/clock.ts
@@ -157,7 +157,8 @@
 		const clear = (event: unknown) => {
 			if (event !== null && typeof event === 'object') (event as Event).gone = true
 		}
-		const later = (f: Callback, ms = 0, ...args: unknown[]) => this.after(ms, () => f(...args))
+		// As Node has it: at least a millisecond, or a wait of a fraction that rounding leaves never passes.
+		const later = (f: Callback, ms = 0, ...args: unknown[]) => this.after(Math.max(1, ms), () => f(...args))
 		const again = (f: Callback, ms = 0, ...args: unknown[]) => {
 			const handle = { gone: false }
 			const step = () => {
@@ -173,7 +174,7 @@
 			clearTimeout: clear,
 			setInterval: again,
 			clearInterval: clear,
-			setImmediate: (f: Callback, ...args: unknown[]) => later(f, 0, ...args),
+			setImmediate: (f: Callback, ...args: unknown[]) => this.after(0, () => f(...args)),
 			clearImmediate: clear,
 		})
 		Date.now = () => 1_700_000_000_000 + Math.floor(this.nowMs)
--- /dev/null
+++ b/packages/testkit/src/hunt.ts
@@ -0,0 +1,99 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { type Day, sweep, type Trouble, World } from './world.js'
+
+const KINDS: readonly Trouble['kind'][] = [
+	'crash',
+	'stateDown',
+	'stateSlow',
+	'cloudDown',
+	'cut',
+	'machineDies',
+	'machinesCut',
+	'spotNotice',
+	'ownError',
+	'freeze',
+	'boots',
+	'pollStorm',
+	'zoneCut',
+	'machineFaulty',
+]
+
+/** A day of troubles that nobody thought of together: everything about it follows from the seed. */
+export const anyDay = (seed: number): Day => {
+	const generator = xoroshiro128plus(seed)
+	const random = () => uniformFloat64(generator)
+	const one = <T>(of: readonly T[]): T => of[Math.floor(random() * of.length)]
+	const controllers = one([3, 3, 5])
+	const troubles: Trouble[] = []
+	for (let atS = 15; atS < 160; atS += 3 + random() * 12) {
+		const kind = one(KINDS)
+		const some = Array.from({ length: controllers }, (_, i) => i).filter(() => random() < 0.4)
+		const from = one([undefined, 'state', 'workers', 'peers'] as const)
+		troubles.push({
+			atS,
+			kind,
+			who: some.length > 0 ? some : [Math.floor(random() * controllers)],
+			forS: 1 + random() * random() * 60,
+			zone: one(['a', 'b']),
+			factor: kind === 'boots' ? one([0.1, 4]) : 6,
+			...(from === undefined ? {} : { from }),
+		})
+	}
+	const jobs = Array.from({ length: 30 }, (_, i) => {
+		const long = i % 9 === 3
+		const atS = 1 + i * (1 + random() * 4)
+		return {
+			atS,
+			spec: sweep(`job-${String(i).padStart(6, '0')}`, {
+				tasks: 2 + Math.floor(random() * 30),
+				image: `img-${i % 3}`,
+				priority: one(['urgent', 'normal', 'idle'] as const),
+				spot: random() < 0.8,
+				zone: random() < 0.1 ? 'a' : null,
+				checkpointS: random() < 0.3 ? 3 : 0,
+				saveS: 1,
+				// So long that only a cancellation can have ended it.
+				expectedS: long ? 300 : 4 + random() * 20,
+			}),
+			...(long ? { cancelAtS: atS + 20 + random() * 60 } : {}),
+		}
+	})
+	return {
+		seed,
+		untilS: 900,
+		jobs,
+		troubles,
+		loss: one([0, 0.005, 0.02]),
+		lossUntilS: 250,
+		controllers,
+		up: one([0, 0, 6]),
+		drift: random() < 0.5,
+		capacity: 2 + Math.floor(random() * 6),
+		...(random() < 0.2 ? { limits: new Map([['core', 24]]) } : {}),
+	}
+}
+
+export interface Hunted {
+	broken: string[]
+	unfinished: string[]
+	started: number
+	/** how often the controllers said what was asked for */
+	said: Record<string, number>
+}
+
+/** Plays such a day; `count`: events of the log that are counted. */
+export const huntDay = async (seed: number, count: readonly string[] = []): Promise<Hunted> => {
+	const world = new World(anyDay(seed))
+	const said: Record<string, number> = Object.fromEntries(count.map((event) => [event, 0]))
+	world.tell = (line) => {
+		for (const event of count) if (line.includes(` ${event} {`)) said[event]++
+	}
+	await world.play()
+	return {
+		broken: world.rules.broken,
+		unfinished: world.rules.unfinished(),
+		started: world.rules.started,
+		said,
+	}
+}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,5 +1,6 @@
 export * from './clock.js'
 export * from './explore.js'
+export * from './hunt.js'
 export * from './month.js'
 export * from './prove.js'
 export * from './proxy.js'
--- a/packages/testkit/src/standins.ts
+++ b/packages/testkit/src/standins.ts
@@ -377,7 +377,7 @@
 			this.lastSent = this.w.clock.nowMs + 1000 - this.w.reportMs
 		}
 		const finish = (r: Response | null) => {
-			if (over) return
+			if (over || this.dead) return
 			over = true
 			this.inFlight = false
 			if (r?.status === 200 && isMap(r.body)) {
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -28,16 +28,19 @@
 		| 'cut'
 		| 'machineDies'
 		| 'machinesCut'
+		| 'zoneCut'
 		| 'machineFaulty'
 		| 'spotNotice'
 		| 'ownError'
 		| 'freeze'
 		| 'boots'
 		| 'pollStorm'
-	/** controllers, by number */
+	/** controllers, by number; of a zone's cut those inside */
 	who?: readonly number[]
 	/** what a cut controller is cut from; everything if not given */
 	from?: 'state' | 'workers' | 'peers'
+	/** the zone that is cut off */
+	zone?: string
 	forS?: number
 	/** how much longer than usual boots take, how much oftener users ask */
 	factor?: number
@@ -50,6 +53,8 @@
 	troubles: readonly Trouble[]
 	/** share of messages lost on their way there or back, or delivered late */
 	loss?: number
+	/** until when; all day if not given */
+	lossUntilS?: number
 	limits?: ReadonlyMap<string, number>
 	/** within how many seconds the tasks of a class should start */
 	waits?: ReadonlyMap<string, number>
@@ -130,6 +135,8 @@
 	private readonly cuts = new Map<number, Set<string>>()
 	/** machines without network; their tasks run on */
 	private readonly silent = new Set<string>()
+	/** a zone that is cut off, with the controllers inside; what is inside reaches what is inside */
+	private island: { zone: string; who: readonly number[] } | null = null
 	private stateSlowMs = 0
 	private pollFactor = 1
 	private readonly specs = new Map<string, JobSpec>()
@@ -185,7 +192,7 @@
 					const i = this.names.indexOf(controller)
 					if (this.silent.has(machine)) return
 					const serve = () => this.face(i, 'POST', path, body)
-					this.deliver(['workers', i], { from: null, to: i }, this.life(i), serve, reply)
+					this.deliver(['workers', i], { from: null, to: i }, this.life(i), serve, reply, zone)
 				},
 			},
 			id,
@@ -211,16 +218,27 @@
 		)
 	}
 
-	/** A message over an unreliable network: there and back, perhaps lost or late, never over a cut. */
+	/**
+	 * A message over an unreliable network: there and back, perhaps lost or late, never over a cut. `other`: the zone or
+	 * the number of whoever is at its other end; null: somebody in no zone.
+	 */
 	private deliver(
 		over: [kind: string, node: number],
 		ends: { from: number | null; to: number | null },
 		alive: () => boolean,
 		serve: () => Promise<Response | null>,
 		reply: (r: Response | null) => void,
+		other: string | number | null = null,
 	): void {
-		const loss = this.day.loss ?? 0
-		const cut = () => this.cuts.get(over[1])?.has(over[0]) === true
+		const lossy = this.clock.nowMs < (this.day.lossUntilS ?? Number.POSITIVE_INFINITY) * 1000
+		const loss = lossy ? (this.day.loss ?? 0) : 0
+		const apart = () => {
+			if (this.island === null) return false
+			const { zone, who } = this.island
+			const there = typeof other === 'number' ? who.includes(other) : other === zone
+			return who.includes(over[1]) !== there
+		}
+		const cut = () => this.cuts.get(over[1])?.has(over[0]) === true || apart()
 		const late = this.clock.random() < loss ? this.clock.between(1000, 20_000) : 0
 		const slow = over[0] === 'state' ? this.stateSlowMs * this.clock.between(0.5, 1.5) : 0
 		const back = (r: Response | null) => {
@@ -279,6 +297,7 @@
 								return Promise.resolve(deaf ? null : w.handle(path, sent))
 							},
 							answer,
+							this.workers.get(to.split(':')[0])?.zone ?? null,
 						)
 					else {
 						const j = this.names.findIndex((_, n) => address(n, 8081) === to)
@@ -292,6 +311,7 @@
 								return Promise.resolve(reply === null ? null : { status: 200, body: reply })
 							},
 							answer,
+							j,
 						)
 					}
 				}),
@@ -498,6 +518,11 @@
 				one.faulty = true
 				this.faulty.add(one.id)
 			}
+		} else if (t.kind === 'zoneCut') {
+			this.island = { zone: t.zone ?? 'a', who }
+			this.clock.after(forMs, () => {
+				this.island = null
+			})
 		} else if (t.kind === 'machinesCut') {
 			const cut = [...this.workers.keys()].filter((_, i) => i % 2 === 0)
 			for (const id of cut) this.silent.add(id)
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -56,6 +56,35 @@
 		assert.ok(cut >= 10 && early * 3 <= cut, `${early} of ${cut} machines were returned`)
 	})
 
+test('jobs of a part whose zone is cut off move to parts that can run them', async () => {
+	const cut = { from: 60, forS: 120 }
+	const world = new World({
+		seed: 43,
+		untilS: 400,
+		controllers: 4,
+		capacity: 10,
+		jobs: Array.from({ length: 60 }, (_, i) => ({
+			atS: 1 + i * 0.9,
+			spec: sweep(`job-0010${String(i).padStart(2, '0')}`, { tasks: 24, expectedS: 12 }),
+		})),
+		troubles: [{ atS: cut.from, kind: 'zoneCut', zone: 'b', who: [1, 3], forS: cut.forS }],
+	})
+	const moved = new Set<string>()
+	const over = new Map<string, number>()
+	world.tell = (line) => {
+		const at = /^(\d+) \S+ (moving job|job over) .*"uid":"([^"]+)"/.exec(line)
+		if (at === null) return
+		if (at[2] === 'moving job') moved.add(at[3])
+		else if (!over.has(at[3])) over.set(at[3], Number(at[1]) / 1000)
+	}
+	await world.play()
+	assert.deepEqual(world.rules.broken, [])
+	assert.deepEqual(world.rules.unfinished(), [], 'every job ends')
+	const during = [...moved].filter((uid) => (over.get(uid) ?? Number.POSITIVE_INFINITY) < cut.from + cut.forS)
+	assert.ok(moved.size >= 3, `${moved.size} jobs moved`)
+	assert.ok(during.length * 2 >= moved.size, `${during.length} of ${moved.size} ended while the cut lasted`)
+})
+
 test('many machines and all controllers restart together: work is bounded by counts, no lease is lost', async () => {
 	const tasks = 40 * 130
 	const world = new World({
--- a/tests/simulation.test.ts
+++ b/tests/simulation.test.ts
@@ -148,6 +148,20 @@
 		loss: 0.01,
 		seeds: [32, 33],
 	},
+	{
+		name: 'a zone is cut off with controllers and machines inside, for a lease and for many, also during a crash',
+		drift: true,
+		troubles: [
+			{ atS: 20, kind: 'zoneCut', zone: 'b', who: [1], forS: 12 },
+			{ atS: 45, kind: 'zoneCut', zone: 'b', who: [1, 3], forS: 60 },
+			{ atS: 50, kind: 'crash', who: [0, 3] },
+			{ atS: 120, kind: 'zoneCut', zone: 'a', who: [0, 2, 4], forS: 25 },
+			{ atS: 130, kind: 'stateDown', forS: 8 },
+		],
+		controllers: 5,
+		loss: 0.01,
+		seeds: [34, 35, 36],
+	},
 	{
 		name: "a team's limit, over a takeover",
 		troubles: [{ atS: 30, kind: 'crash', who: [0, 1] }],
