Hold accepted jobs until checks release them

Need: teams want work checked before it starts, and an accepted job must run all the same. Change: what has to check a job is settled with its acceptance; until it is released it is no job of its part as far as planning, renting and weighing go, and the release is made durable on shared pages, conditional on the ownership, before a first task starts. The service learns to leave: the balancer first, then its parts go to others. Without checks nothing changes.

--- a/packages/cluster/src/membership.ts
+++ b/packages/cluster/src/membership.ts
@@ -84,6 +84,8 @@
 	private restUntil = 0
 	/** a part was handed over because its machines reach others and not us; nothing comes back until one answers us */
 	deaf = false
+	/** this controller is about to end: its parts go to others, and none comes to it */
+	leaving = false
 	private lastStateOk = Number.NEGATIVE_INFINITY
 	/** promises we gave: member -> until when we adopt none of its parts and confirm no cancellation in them */
 	private readonly given = new Map<string, number>()
@@ -248,6 +250,7 @@
 		// What stands in our name is ours to renew: a former life's, which has ended, or a hand-over's that did not happen,
 		// as when the state went down that moment; nobody else can take it for as long as our grant lasts (incident 11).
 		if (record !== null) return record.owner === this.d.self
+		if (this.leaving) return false
 		const last = asPart(this.mirror.get(lastOwnerKey(part))?.data)?.owner
 		if (last !== undefined && last !== this.d.self) {
 			// We may have promised its owner, in this life or one that we cannot remember, to leave it alone.
@@ -343,6 +346,29 @@
 		}
 	}
 
+	/**
+	 * We are about to end: every part goes to its home, or to the peer that owns the fewest. One whose machines are not all
+	 * accounted for stays until they are, since its next owner would have to wait for them; `atOnce`: it goes all the same.
+	 */
+	handAllOver(atOnce: boolean): void {
+		if (!this.leaving || !this.mayHandOver()) return
+		const owns = new Map<string, number>()
+		for (let part = 0; part < this.d.names.length; part++) {
+			const owner = asPart(this.mirror.get(partKey(part))?.data)?.owner
+			if (owner !== undefined) owns.set(owner, (owns.get(owner) ?? 0) + 1)
+		}
+		for (const { part } of [...this.owned.values()]) {
+			if (!atOnce && !this.events.quiet(part)) continue
+			const able = this.peers.filter((p) => this.taker(p) !== null)
+			const count = (p: Peer) => (p.name === this.d.names[part] ? -1 : (owns.get(p.name) ?? 0))
+			const best = able.sort((a, b) => count(a) - count(b))[0]
+			const news = this.taker(best)
+			if (news === null) return
+			owns.set(best.name, (owns.get(best.name) ?? 0) + 1)
+			this.handOver(part, best.name, news, `handed to ${best.name} at our end`)
+		}
+	}
+
 	private handOver(part: number, to: string, news: PeerNews & { grant: number }, why: string): void {
 		const token = this.owned.get(part)!.token
 		const data = { owner: to, life: news.life }
@@ -394,7 +420,7 @@
 			life: this.life,
 			grant: this.grant,
 			upMs: Math.round(this.now() - this.awakeSince),
-			ready: ready && this.right() === 'grant' && !this.deaf && this.now() >= this.restUntil,
+			ready: ready && this.right() === 'grant' && !this.deaf && !this.leaving && this.now() >= this.restUntil,
 			unheard: [...this.owned.keys()].filter((part) => this.events.unheard(part) > 0),
 			...news,
 		}
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -45,6 +45,8 @@
 	at?: number
 	/** done tasks among the first CHUNK, as flat ranges; further chunks have keys of their own */
 	done?: number[]
+	/** checks that have to release it before its first start, settled when it was accepted */
+	checks?: readonly string[]
 	final?: 'done' | 'aborted'
 	tasks?: number
 	count?: number
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -93,6 +93,49 @@
 	cacheMb: number
 }
 
+/** How the process comes and goes. */
+export interface DaemonSettings {
+	/** a drain takes no longer than that, in seconds */
+	drainS: number
+	/** of it, until the balancer has noticed that no more users are wanted here */
+	balancerS: number
+}
+
+/** Where figures for operators are told, on only if the INI file has its section. */
+export interface MetricsSettings {
+	/** as IP:PORT */
+	listen: string
+}
+
+export const GRANTS = ['node', 'team-jobs'] as const
+export type Grant = (typeof GRANTS)[number]
+
+/** What an operator has settled for one plug-in. */
+export interface PluginSettings {
+	/** after its acceptance a job is held no longer than that, in seconds */
+	holdAtMostS: number
+	/** what becomes of a job when the plug-in gives no answer */
+	whenUnsure: 'release' | 'hold'
+	/** what a submission may wait for it, in ms */
+	admitMs: number
+	/** what one call may take, in ms */
+	callMs: number
+	memoryMb: number
+	/** null: as its manifest says */
+	classes: readonly string[] | null
+	teams: readonly string[] | null
+	grant: readonly Grant[]
+}
+
+/** Checks of the operators' own, on only if the INI file has their section. */
+export interface PluginsSettings {
+	dir: string
+	/** the directory is looked at this often, in seconds */
+	lookS: number
+	/** by name */
+	plugins: Record<string, PluginSettings>
+}
+
 interface Key {
 	section: string
 	key: string
@@ -125,6 +168,31 @@
 	cacheMb: { section: 'history', key: 'cache_mb', value: 2, min: 0.1, max: 1000 },
 }
 
+const DAEMON: { [K in keyof DaemonSettings]: Key } = {
+	drainS: { section: 'daemon', key: 'drain_s', value: 30, min: 1, max: 3600 },
+	balancerS: { section: 'daemon', key: 'balancer_s', value: 4, min: 0, max: 600 },
+}
+
+const LOOK: { lookS: Key } = {
+	lookS: { section: 'plugins', key: 'look_s', value: 5, min: 0.2, max: 3600 },
+}
+
+type Figures = 'holdAtMostS' | 'admitMs' | 'callMs' | 'memoryMb'
+const PLUGIN: { [K in Figures]: Omit<Key, 'section'> } = {
+	holdAtMostS: { key: 'hold_at_most_s', value: 300, min: 1, max: 86_400 },
+	// Small against the 5 s that a user waits for the answer to a submission (protocol).
+	admitMs: { key: 'admit_ms', value: 500, min: 10, max: 2000 },
+	callMs: { key: 'call_ms', value: 200, min: 5, max: 5000 },
+	memoryMb: { key: 'memory_mb', value: 8, min: 1, max: 256 },
+}
+const PLUGIN_KEYS = new Set([
+	...Object.values(PLUGIN).map((k) => k.key),
+	'when_unsure',
+	'classes',
+	'teams',
+	'grant',
+])
+
 export class ConfigError extends Error {}
 
 const readText = (path: string): string => {
@@ -139,12 +207,17 @@
 
 /** The file's sections; keys outside of one, and sections and keys that nobody knows, are typing errors. */
 const readSections = (path: string): Sections => {
-	const known = new Map<string, Set<string>>([['grpc', new Set(['listen'])]])
-	for (const { section, key } of [TUNING, GRPC, HISTORY].flatMap((t) => Object.values<Key>(t)))
+	const known = new Map<string, Set<string>>([
+		['grpc', new Set(['listen'])],
+		['metrics', new Set(['listen'])],
+		['plugins', new Set(['dir'])],
+	])
+	for (const { section, key } of [TUNING, GRPC, HISTORY, DAEMON, LOOK].flatMap((t) => Object.values<Key>(t)))
 		known.set(section, (known.get(section) ?? new Set()).add(key))
 	const read = ini.parse(readText(path))
 	for (const [section, content] of Object.entries(read)) {
 		if (typeof content !== 'object') throw new ConfigError(`${path}: ${section}: stands outside a section`)
+		if (section === 'plugin') continue
 		const keys = known.get(section)
 		if (keys === undefined) throw new ConfigError(`${path}: ${section}: no such section`)
 		for (const key of Object.keys(content))
@@ -165,9 +238,66 @@
 	return out
 }
 
+const names = (path: string, at: string, raw: unknown): string[] | null => {
+	if (raw === undefined) return null
+	const list = String(raw)
+		.split(',')
+		.map((n) => n.trim())
+	if (list.some((n) => n === '')) throw new ConfigError(`${path}: ${at}: must be names with commas between`)
+	return list
+}
+
+const readPlugin = (path: string, name: string, section: Record<string, unknown>): PluginSettings => {
+	const at = `plugin.${name}`
+	if (!/^[a-z][a-z0-9-]{0,39}$/.test(name) || typeof section !== 'object')
+		throw new ConfigError(`${path}: [${at}]: the name is small letters, digits and dashes`)
+	for (const key of Object.keys(section))
+		if (!PLUGIN_KEYS.has(key)) throw new ConfigError(`${path}: ${at}.${key}: no such key`)
+	const table = Object.fromEntries(Object.entries(PLUGIN).map(([k, v]) => [k, { ...v, section: at }]))
+	const unsure = section.when_unsure ?? 'release'
+	if (unsure !== 'release' && unsure !== 'hold-until-limit')
+		throw new ConfigError(`${path}: ${at}.when_unsure: must be release or hold-until-limit`)
+	const grant = names(path, `${at}.grant`, section.grant) ?? []
+	const unknown = grant.find((g) => !GRANTS.includes(g as Grant))
+	if (unknown !== undefined)
+		throw new ConfigError(`${path}: ${at}.grant: ${unknown} is none of ${GRANTS.join(', ')}`)
+	return {
+		...readNumbers(path, { [at]: section }, table as Record<Figures, Key>),
+		whenUnsure: unsure === 'release' ? 'release' : 'hold',
+		classes: names(path, `${at}.classes`, section.classes),
+		teams: names(path, `${at}.teams`, section.teams),
+		grant: grant as Grant[],
+	}
+}
+
+const readPlugins = (path: string, sections: Sections): PluginsSettings | null => {
+	const each = Object.entries((sections.plugin ?? {}) as Record<string, Record<string, unknown>>)
+	if (sections.plugins === undefined) {
+		if (each.length > 0) throw new ConfigError(`${path}: [plugin.${each[0][0]}]: needs a section [plugins]`)
+		return null
+	}
+	const { dir } = sections.plugins
+	if (typeof dir !== 'string' || dir === '')
+		throw new ConfigError(`${path}: plugins.dir: must be a directory`)
+	const plugins = Object.fromEntries(each.map(([name, s]) => [name, readPlugin(path, name, s)]))
+	return { dir, ...readNumbers(path, sections, LOOK), plugins }
+}
+
+const readListen = (path: string, section: string, sections: Sections): string => {
+	const { listen } = sections[section]
+	if (typeof listen !== 'string' || !ADDRESS.test(listen))
+		throw new ConfigError(`${path}: ${section}.listen: must be ${ADDRESS_FORM}`)
+	return listen
+}
+
 /** What an INI file settles. */
 export interface Options {
 	tuning: Tuning
+	daemon: DaemonSettings
+	/** null: none are loaded */
+	plugins: PluginsSettings | null
+	/** null: not told */
+	metrics: MetricsSettings | null
 	/** null: no face for gRPC */
 	grpc: GrpcSettings | null
 	/** null: jobs that are over stay in memory, unless the state is of a form that archives them already */
@@ -180,11 +310,16 @@
 	const file = path ?? ''
 	const tuning = readNumbers(file, sections, TUNING)
 	const history = sections.history === undefined ? null : readNumbers(file, sections, HISTORY)
-	if (sections.grpc === undefined) return { tuning, grpc: null, history }
-	const { listen } = sections.grpc
-	if (typeof listen !== 'string' || !ADDRESS.test(listen))
-		throw new ConfigError(`${file}: grpc.listen: must be ${ADDRESS_FORM}`)
-	return { tuning, grpc: { listen, ...readNumbers(file, sections, GRPC) }, history }
+	const listen = (section: string) => readListen(file, section, sections)
+	return {
+		tuning,
+		daemon: readNumbers(file, sections, DAEMON),
+		plugins: readPlugins(file, sections),
+		metrics: sections.metrics === undefined ? null : { listen: listen('metrics') },
+		grpc:
+			sections.grpc === undefined ? null : { listen: listen('grpc'), ...readNumbers(file, sections, GRPC) },
+		history,
+	}
 }
 
 /** What is in force where no file says otherwise. */
--- a/packages/controller/src/index.ts
+++ b/packages/controller/src/index.ts
@@ -1,4 +1,5 @@
 export * from './boots.js'
 export * from './capacity.js'
+export * from './checks.js'
 export * from './model.js'
 export * from './part.js'
--- a/packages/controller/src/model.ts
+++ b/packages/controller/src/model.ts
@@ -5,6 +5,7 @@
 import type { Entry, Write } from '@heathroad/store'
 import type { Count, EndCause, JobSpec, MachineType, Order, Report, TaskState } from '@heathroad/wire'
 import type { CapacityBook } from './capacity.js'
+import type { Checks } from './checks.js'
 
 /** `planned`: chosen for a machine, nothing sent yet. `sent`: in a report's response, not settled yet. */
 export type AttemptState = 'planned' | 'sent' | TaskState
@@ -149,6 +150,12 @@
 	usedElsewhere(part: number, team: string): { cpus: number; gpus: number }
 	/** says of waiting jobs of a part which other part would serve them better by far, given those on their way already */
 	leaver(part: number, leaving: readonly { spec: JobSpec; to: number }[]): (spec: JobSpec) => number | null
+	/** the operators' checks */
+	checks(): Checks
+	/** has the job to be released by checks before anything of it may start? */
+	heldBack(uid: string, record: JobRecord): boolean
+	/** has its mark of a release to stay on record: open, and without progress that would show it */
+	marked(uid: string): boolean
 	/** jobs without a final state */
 	openJobs(): Iterable<string>
 	wrote(key: string, data: unknown, stamp: number): void
--- a/packages/controller/src/part.ts
+++ b/packages/controller/src/part.ts
@@ -12,6 +12,7 @@
 } from '@heathroad/wire'
 import { Faults } from './faults.js'
 import { Fleet } from './fleet.js'
+import { Gate } from './gate.js'
 import { type Attempt, graceS, JobRun, type Machine, type Ports } from './model.js'
 import { Moves } from './moves.js'
 import { Planner } from './planner.js'
@@ -46,6 +47,7 @@
 	private readonly progress: Progress
 	private readonly faults: Faults
 	private readonly moves: Moves
+	private readonly gate: Gate
 	private readonly silence: Silence
 	/** machines that may hold tasks of a former owner's and have not reported under our token yet */
 	private readonly unconfirmed = new Set<string>()
@@ -69,6 +71,7 @@
 		this.progress = new Progress(this.s)
 		this.faults = new Faults(this.s)
 		this.moves = new Moves(this.s)
+		this.gate = new Gate(this.s, (uid) => this.letIn(uid))
 		this.silence = new Silence(this.s)
 		this.takenAt = ports.now()
 		const intents: [string, FleetRecord][] = []
@@ -146,15 +149,41 @@
 	jobChanged(uid: string, record: JobRecord, settled = true): void {
 		const known = this.jobs.get(uid)
 		if (record.part !== this.k) {
+			this.gate.drop(uid)
 			if (known !== undefined) this.jobLeft(known)
 			return
 		}
 		if (record.final !== undefined) {
+			this.gate.drop(uid)
 			if (known !== undefined && !known.over) this.closeJob(known, record.final)
 			return
 		}
 		if (known !== undefined || record.spec === undefined) return
-		const spec = record.spec
+		if (!this.ports.heldBack(uid, record)) {
+			this.gate.drop(uid)
+			this.take(record.spec, record, settled)
+		} else if (!this.gate.has(uid)) this.gate.hold(record.spec, record)
+	}
+
+	/** A job that was held may start, or is shown to have started. */
+	private letIn(uid: string): void {
+		const record = this.ports.job(uid)?.record
+		if (record?.spec === undefined || record.part !== this.k || record.final !== undefined) return
+		if (!this.jobs.has(uid)) this.take(record.spec, record, this.s.settled)
+	}
+
+	/** Jobs were released by their checks, for good. */
+	released(uids: readonly string[]): void {
+		if (!this.s.stopped) this.gate.released(uids)
+	}
+
+	/** Jobs that wait for their checks. */
+	get heldJobs(): number {
+		return this.gate.size
+	}
+
+	private take(spec: JobSpec, record: JobRecord, settled: boolean): void {
+		const { uid } = spec
 		const job = new JobRun(spec, record.at ?? 0, this.makeLedger(spec), settled)
 		job.done = new Ranges(record.done ?? [])
 		for (let c = 1; c * CHUNK < spec.tasks; c++) {
@@ -335,6 +364,7 @@
 
 	/** A reported attempt that we did not start: a former owner's, or one that must not be there. */
 	private discover(m: Machine, t: ReportedTask, key: string): Attempt {
+		this.gate.started(t.uid)
 		const job = this.jobs.get(t.uid) ?? null
 		const record = job === null ? this.ports.job(t.uid)?.record : undefined
 		const useful =
@@ -621,6 +651,7 @@
 		if (toRelease.length > 0 && right === 'grant' && this.renter.mayRelease()) this.release(toRelease)
 		else for (const m of toRelease) if (m.leaving === 'idle' && !m.releasing) m.leaving = null
 		this.progress.look(now, holding)
+		this.gate.look(now)
 		if (!this.s.settled) this.pressOn(now)
 	}
 
@@ -734,6 +765,7 @@
 
 	/** Jobs cancelled while we were cut off from the state, told by a member that was not. */
 	applyCancelled(uid: string): void {
+		this.gate.drop(uid)
 		const job = this.jobs.get(uid)
 		if (job !== undefined && !job.over) this.closeJob(job, 'aborted')
 	}
--- a/packages/inspect/src/check.ts
+++ b/packages/inspect/src/check.ts
@@ -5,6 +5,7 @@
 	asJob,
 	asPage,
 	asPart,
+	asReleased,
 	doneTasks,
 	type Ended,
 	FORM,
@@ -85,7 +86,10 @@
 			this.progress.push(key)
 			if (!Array.isArray(data)) this.say(key, 'does not parse')
 		} else if (kind === 'over') this.page(key, Number(id), data)
-		else if (name === 'history') {
+		else if (kind === 'released') {
+			if (asReleased(data) === null) this.say(key, 'does not parse')
+			else if (!(Number(id) < this.parts)) this.say(key, `there are ${this.parts} parts`)
+		} else if (name === 'history') {
 			const record = asHistory(data)
 			if (record === null) this.say(key, 'does not parse')
 			else if (record.form > FORM) this.say(key, `is of form ${record.form}; this program knows ${FORM}`)
--- a/packages/server/src/core.ts
+++ b/packages/server/src/core.ts
@@ -1,6 +1,6 @@
-import type { Fleets, JobBook, Membership } from '@heathroad/cluster'
+import type { Fleets, JobBook, JobRecord, Membership } from '@heathroad/cluster'
 import type { Config } from '@heathroad/config'
-import type { CapacityBook, Part } from '@heathroad/controller'
+import type { CapacityBook, Checks, Part } from '@heathroad/controller'
 import type { Found, Past } from '@heathroad/history'
 import type { Mirror, Writer } from '@heathroad/store'
 import type { MachineType } from '@heathroad/wire'
@@ -38,6 +38,8 @@
 	readonly capacity: CapacityBook
 	readonly history: Archive
 	readonly parting: Parting
+	/** the operators' own checks; none unless settings ask for them */
+	readonly checks: Checks
 	catalog(): readonly MachineType[]
 	/** the parts that this controller owns */
 	part(k: number): Part | undefined
@@ -46,6 +48,10 @@
 	suspects(): Set<string>
 	/** parts most of whose machines are out of their owners' reach */
 	stranded(): Set<number>
+	/** do checks still hold the job back, so that it weighs nothing? */
+	heldBack(uid: string, record: JobRecord): boolean
+	/** does this controller still take new jobs? not while it hands its parts over */
+	readonly takesJobs: boolean
 	/** has the state answered lately? */
 	stateOk(): boolean
 	/** True once everything durable before the call is in the mirror; false if that takes too long. */
--- a/packages/server/src/parting.ts
+++ b/packages/server/src/parting.ts
@@ -93,6 +93,7 @@
 			if (suspects.has(uid)) continue
 			const record = this.s.jobs.get(uid)?.record
 			if (record?.spec === undefined || record.part >= parts) continue
+			if (this.s.heldBack(uid, record)) continue
 			const r = rank(record.spec.priority)
 			const done = recordedDone(uid, record, (key) => this.s.mirror.get(key)?.data)
 			work[record.part].all[r] += amount(record.spec, record.spec.tasks - done)
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -3,6 +3,7 @@
 import {
 	asJob,
 	asPart,
+	awaits,
 	CATALOG,
 	Fleets,
 	HISTORY,
@@ -10,9 +11,10 @@
 	JobBook,
 	type JobRecord,
 	Membership,
+	ReleaseBook,
 } from '@heathroad/cluster'
 import type { Config } from '@heathroad/config'
-import { CapacityBook, Part, type Ports } from '@heathroad/controller'
+import { CapacityBook, type Checks, NO_CHECKS, Part, type Ports } from '@heathroad/controller'
 import {
 	type Entry,
 	Mirror,
@@ -54,6 +56,13 @@
 	readonly capacity = new CapacityBook()
 	private types: readonly MachineType[] = []
 	readonly jobs: JobBook
+	/** which jobs checks have released */
+	private readonly releases = new ReleaseBook()
+	checks: Checks = NO_CHECKS
+	/** as the operator's drain has it: `leaving`: the balancer is told so, `handing`: parts go to other controllers */
+	private course: 'serving' | 'leaving' | 'handing' = 'serving'
+	/** operators' calls from other processes, at the internal address; nobody answers them unless a daemon does */
+	admin: ((path: string, body: unknown, reply: Tell) => void) | null = null
 	readonly history: History
 	/** the records are of a form that this program does not know; nothing may be done with them */
 	onTooNew: (why: string) => void = () => {}
@@ -66,6 +75,7 @@
 	private readonly seeking = new Map<string, { part: number; at: number }>()
 	/** who waits for the mirror to reach an epoch */
 	private readonly unseen = new Set<{ epoch: number; done: (ok: boolean) => void }>()
+	private atOnce = false
 	private pinged = 0
 	private telling = false
 	private fibers: Fiber.Fiber<unknown, unknown>[] = []
@@ -146,6 +156,8 @@
 		this.servers = [
 			await listen(settings.bind, { ...limits, yields: isForUsers }, (call, reply) => this.face(call, reply)),
 			await listen(settings.internal_addr, limits, (call, reply) => {
+				if (call.method === 'POST' && call.path.startsWith('/admin/') && this.admin !== null)
+					return this.admin(call.path, call.body, reply)
 				const body = call.method === 'POST' ? this.members.answer(call.path, call.body) : null
 				reply(body === null ? { status: 404 } : { status: 200, body })
 			}),
@@ -185,6 +197,67 @@
 		}
 	}
 
+	/** Users go elsewhere as soon as the balancer has noticed; those who still come are served. */
+	leave(): void {
+		this.course = 'leaving'
+	}
+
+	/** Parts go to other controllers; `atOnce`: those too whose machines are not all accounted for. */
+	handOver(atOnce: boolean): void {
+		this.course = 'handing'
+		this.atOnce = atOnce
+		this.members.leaving = true
+	}
+
+	get takesJobs(): boolean {
+		return this.course !== 'handing'
+	}
+
+	/** What is still to be handed over or answered before this controller can end without anybody noticing. */
+	get unfinished(): { parts: number; submissions: number } {
+		return { parts: this.parts.size, submissions: this.users.waiting }
+	}
+
+	/** Figures for operators, counted when asked for. */
+	figures() {
+		const parts = [...this.parts.values()]
+		const sum = (of: (p: Part) => number) => parts.reduce((n, p) => n + of(p), 0)
+		return {
+			parts: parts.length,
+			openJobs: this.jobs.open.size,
+			ownJobs: sum((p) => p.jobs.size),
+			heldJobs: sum((p) => p.heldJobs),
+			machines: sum((p) => p.machines.size),
+			endedInMemory: this.jobs.ended,
+			epoch: this.mirror.epoch,
+			right: this.members.right(),
+			healthy: this.healthy(),
+			course: this.course,
+		}
+	}
+
+	/** No checks are left: what was held is released, as where there never were any. */
+	dropChecks(): void {
+		this.checks = NO_CHECKS
+	}
+
+	/** Ids of a team's jobs that are not over, the oldest first. */
+	openJobsOf(team: string): string[] {
+		const out: { uid: string; at: number }[] = []
+		for (const uid of this.jobs.open) {
+			const record = this.jobs.get(uid)?.record
+			if (record?.spec?.team === team) out.push({ uid, at: record.at ?? 0 })
+		}
+		return out.sort((a, b) => a.at - b.at).map((o) => o.uid)
+	}
+
+	/** Gives our grant up, once nothing of ours acts any more: what is still in our name is free at once. */
+	async resign(): Promise<void> {
+		const { grant } = this.members
+		if (grant === null) return
+		await Effect.runPromise(Effect.ignore(this.client.revoke(grant)))
+	}
+
 	/** After an error of our own a part's picture may be half changed: it is taken anew and rebuilt. */
 	recover(error: unknown): void {
 		this.log('error', 'unexpected error', { error: error instanceof Error ? error.stack : String(error) })
@@ -196,6 +269,7 @@
 		this.members.takeWhatIsFree()
 		this.members.handBack()
 		this.members.handToWhoHears()
+		if (this.course === 'handing') this.members.handAllOver(this.atOnce)
 		for (const p of this.parts.values()) p.tick()
 		const old = this.now() - this.config.derived.cancelMs
 		if (this.cancelledLately.length > 0 && this.cancelledLately[0].at < old)
@@ -299,6 +373,9 @@
 				this.parts.get(record.part)?.jobChanged(record.spec!.uid, record)
 				this.watcher?.jobChanged(record.spec!.uid)
 			}
+		} else if (kind === 'released') {
+			const uids = this.releases.changed(key, entry?.data)
+			for (const p of this.parts.values()) p.released(uids)
 		} else if (kind === 'fleet') {
 			this.fleets.changed(id, entry?.data)
 			for (const p of this.parts.values()) p.fleetChanged(id, entry?.data, before?.data)
@@ -408,6 +485,16 @@
 		return [...this.parts].filter(([, p]) => p.stranded()).map(([k]) => k)
 	}
 
+	heldBack(uid: string, record: JobRecord): boolean {
+		return this.releases.holds(uid, record)
+	}
+
+	/** Has a mark of the job's release to stay? */
+	private marked(uid: string): boolean {
+		const record = this.jobs.get(uid)?.record
+		return record !== undefined && awaits(record)
+	}
+
 	stateOk(): boolean {
 		return this.members.stateHeardWithin(this.config.derived.grantMs * 0.6)
 	}
@@ -431,13 +518,16 @@
 			},
 			raise: (w, urgency) => this.writer.raise(w, urgency),
 			job: (uid) => this.jobs.get(uid),
-			fresh: (done) => this.whenFresh(done),
-			epoch: () => this.mirror.epoch,
 			usedElsewhere: (part, team) => this.usedElsewhere(part, team),
 			leaver: (part, leaving) => this.parting.leaver(part, leaving),
 			suspected: (uid) => this.members.peers.some((p) => p.news?.suspect.includes(uid)),
+			checks: () => this.checks,
+			heldBack: (uid, record) => this.heldBack(uid, record),
+			marked: (uid) => this.marked(uid),
 			openJobs: () => this.jobs.open,
 			refresh: (done) => this.refresh(done),
+			fresh: (done) => this.whenFresh(done),
+			epoch: () => this.mirror.epoch,
 			command: (addr, token, tenure, orders, done) =>
 				run(
 					this.workers
@@ -517,7 +607,7 @@
 	 * only delay the return; a member that alone cannot reach the state leaves the users to the others.
 	 */
 	healthy(): boolean {
-		if (this.mirror.epoch < 0 || this.types.length === 0) return false
+		if (this.course !== 'serving' || this.mirror.epoch < 0 || this.types.length === 0) return false
 		if (this.stateOk()) return true
 		const heard = this.members.peers.filter((p) => this.members.alive(p.name))
 		return heard.length > 0 && heard.every((p) => p.news?.ready === false)
--- a/packages/server/src/users.ts
+++ b/packages/server/src/users.ts
@@ -48,6 +48,11 @@
 		return call.method === 'GET' ? this.run(this.status(uid), reply) : reply(wrongMethod)
 	}
 
+	/** Submissions that wait for their answer. */
+	get waiting(): number {
+		return this.accepting.size
+	}
+
 	private run(effect: Effect.Effect<Reply>, reply: Tell): void {
 		Effect.runFork(effect.pipe(Effect.map(reply)))
 	}
@@ -168,23 +173,14 @@
 		const uid = spec.uid
 		if (this.record(uid) !== null || this.s.history.known(uid) !== undefined)
 			return this.run(this.status(uid), reply)
-		if (this.s.mirror.epoch < 0 || this.s.catalog().length === 0) return reply(later())
+		if (!this.s.takesJobs || this.s.mirror.epoch < 0 || this.s.catalog().length === 0) return reply(later())
 		const waiting = this.accepting.get(uid)
 		if (waiting !== undefined) {
 			waiting.push(reply)
 			return
 		}
 		const refusal = this.refusal(spec)
-		if (refusal !== null) {
-			// Accepted earlier by another controller, it must not be refused now.
-			this.run(
-				this.status(uid).pipe(
-					Effect.map((seen) => (seen.status === 404 ? { status: 422, body: { error: refusal } } : seen)),
-				),
-				reply,
-			)
-			return
-		}
+		if (refusal !== null) return this.run(this.unlessKnown(uid, refusal), reply)
 		if (!this.s.stateOk()) return reply(later())
 		const { intakeLimit, intakePerS } = this.s.config.derived
 		if (!this.intake.hasRoom(spec.team)) {
@@ -197,7 +193,28 @@
 			for (const one of this.accepting.get(uid) ?? []) one(told)
 			this.accepting.delete(uid)
 		}
-		const record = { part: this.s.parting.choose(spec), spec, at: Date.now() }
+		this.s.checks.admit(spec, (why) => {
+			if (why === null) return this.accept(spec, tell)
+			this.s.log('info', 'submission refused', { uid, why })
+			this.run(this.unlessKnown(uid, why), tell)
+		})
+	}
+
+	/** Accepted earlier by another controller, it must not be refused now. */
+	private unlessKnown(uid: string, refusal: string): Effect.Effect<Reply> {
+		const refused = (seen: Reply) => (seen.status === 404 ? { status: 422, body: { error: refusal } } : seen)
+		return this.status(uid).pipe(Effect.map(refused))
+	}
+
+	private accept(spec: JobSpec, tell: Tell): void {
+		const { uid } = spec
+		const checks = this.s.checks.required(spec)
+		const record = {
+			part: this.s.parting.choose(spec),
+			spec,
+			at: Date.now(),
+			...(checks.length > 0 ? { checks } : {}),
+		}
 		this.intake.accept(record, INTAKE_MS, (how) => {
 			if (how === 'accepted') {
 				const { jobClass, team, priority, tasks, cpus, expectedS, checkpointS } = spec
--- a/packages/store/src/client.ts
+++ b/packages/store/src/client.ts
@@ -36,6 +36,8 @@
 	): Effect.Effect<{ epoch: number; log: LogEntry[] }, Failure | TooOld>
 	grant(lifeMs: number): Effect.Effect<number, Failure>
 	extend(grant: number): Effect.Effect<void, Failure | GrantOver>
+	/** Ends it now, with the keys that are attached to it. */
+	revoke(grant: number): Effect.Effect<void, Failure>
 }
 
 export const makeStoreClient = (
@@ -109,5 +111,9 @@
 					return status === 404 ? Effect.fail(new GrantOver()) : unreadable(status)
 				}),
 			),
+		revoke: (grant) =>
+			call('DELETE', `/grants/${grant}`, undefined, timeoutMs).pipe(
+				Effect.flatMap(({ status }) => (status === 200 || status === 404 ? Effect.void : unreadable(status))),
+			),
 	}
 }
--- a/packages/testkit/src/standins.ts
+++ b/packages/testkit/src/standins.ts
@@ -112,6 +112,11 @@
 			this.grants.set(id, { lifeMs, until: this.clock.nowMs + lifeMs })
 			return reply(ok({ grant: id }))
 		}
+		const ended = method === 'DELETE' ? /^\/grants\/(\d+)$/.exec(route) : null
+		if (ended !== null) {
+			this.end(Number(ended[1]))
+			return reply(ok({}))
+		}
 		const extend = /^\/grants\/(\d+)\/extend$/.exec(route)
 		if (extend !== null) {
 			const g = this.grants.get(Number(extend[1]))
--- a/tests/membership.test.ts
+++ b/tests/membership.test.ts
@@ -16,6 +16,7 @@
 	const client = {
 		grant: () => Effect.succeed(7),
 		extend: () => Effect.void,
+		revoke: () => Effect.void,
 		txn: (conditions: readonly Condition[]) => {
 			takes.push(conditions)
 			return Effect.never
