Serve as a daemon: drain on SIGTERM, reload, verbs for plug-ins

Need: operators live with a controller that is upgraded and restarted under load. Change: `serve` drains on the first signal and ends on the second, reads INI and plug-ins anew on SIGHUP or a call; `plugins list|check|reload|disable|enable` and `drain`. Measured (simulated, users behind a balancer): three controllers drained in turn refuse or lose 0 of 220 submissions and no lease; crashed in turn they do.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,5 +1,5 @@
 import { ConfigError, loadConfig } from '@heathroad/config'
-import { type Log, type LogLevel, Service } from '@heathroad/server'
+import { makeLog, Running } from '@heathroad/daemon'
 import { PRIORITIES } from '@heathroad/wire'
 import { Command, InvalidArgumentError, Option } from 'commander'
 import type { Where } from './verbs.js'
@@ -8,20 +8,6 @@
 /** Exit codes: 0 done, 1 the service said no or gave no answer, 2 wrong settings or arguments. */
 const EXIT = { refused: 1, usage: 2 } as const
 
-const LEVELS: readonly LogLevel[] = ['error', 'info', 'debug']
-
-const makeLog = (): Log => {
-	const asked = process.env.LOG_LEVEL ?? 'info'
-	const known = LEVELS.includes(asked as LogLevel)
-	const upTo = known ? LEVELS.indexOf(asked as LogLevel) : 1
-	const log: Log = (level, event, fields) => {
-		if (LEVELS.indexOf(level) > upTo) return
-		process.stderr.write(`${JSON.stringify({ time: new Date().toISOString(), level, event, ...fields })}\n`)
-	}
-	if (!known) log('error', 'unknown LOG_LEVEL, using info', { asked })
-	return log
-}
-
 const guarded = <A>(load: () => A): A => {
 	try {
 		return load()
@@ -34,20 +20,17 @@
 
 const serve = async (options: { config: string; ini?: string }): Promise<void> => {
 	const config = guarded(() => loadConfig(options.config, options.ini))
-	const log = makeLog()
-	const service = new Service(config, log)
-	service.onTooNew = (why) => {
+	const running = new Running(config, options.ini, makeLog(), (code) => process.exit(code))
+	running.service.onTooNew = (why) => {
 		process.stderr.write(`heathroad: ${why}: refusing to start\n`)
 		process.exit(EXIT.usage)
 	}
-	process.on('uncaughtException', (e) => service.recover(e))
-	process.on('unhandledRejection', (e) => service.recover(e))
+	process.on('uncaughtException', (e) => running.service.recover(e))
+	process.on('unhandledRejection', (e) => running.service.recover(e))
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) process.on(signal, () => running.signalled())
+	process.on('SIGHUP', () => void running.reload().catch((e) => running.service.recover(e)))
 	try {
-		await service.start()
-		if (config.grpc !== null) {
-			const { GrpcFace } = await import('@heathroad/grpc')
-			await new GrpcFace(service, config.grpc).start()
-		}
+		await running.start()
 	} catch (e) {
 		process.stderr.write(`heathroad: cannot listen: ${(e as Error).message}\n`)
 		process.exit(EXIT.refused)
@@ -69,7 +52,9 @@
 
 program
 	.command('serve')
-	.description('run one controller until it is killed')
+	.description(
+		'run one controller until it is killed or told to drain (SIGTERM; a second one ends it at once)',
+	)
 	.option('--ini <file>', "operators' own settings")
 	.requiredOption('--config <file>', "the platform's settings (JSON)")
 	.action(serve)
@@ -226,6 +211,59 @@
 	.argument('<after>')
 	.action(async (before: string, after: string) => (await stateTools()).compare(before, after))
 
+const daemonTools = () => import('./daemon-tools.js')
+interface DaemonOptions {
+	admin?: string[]
+	json?: boolean
+}
+/** The options of verbs for operators of running controllers. */
+const operators = (verb: Command): Command =>
+	verb
+		.addOption(
+			new Option(
+				'--admin <address>',
+				"a controller's internal address, as IP:PORT; may be given again (default: 127.0.0.1:8081)",
+			).argParser(several),
+		)
+		.option('--json', 'print JSON, as into a pipe')
+		.option('--no-json', 'print for a person, as on a terminal')
+const at = (o: DaemonOptions) => ({
+	admin: o.admin ?? ['127.0.0.1:8081'],
+	json: o.json ?? !process.stdout.isTTY,
+})
+
+const plugins = program
+	.command('plugins')
+	.description('look at and steer the plug-ins of running controllers')
+
+operators(plugins.command('list'))
+	.description('versions, conditions and counts')
+	.action(async (o: DaemonOptions) => (await daemonTools()).list(at(o)))
+
+plugins
+	.command('check')
+	.description('say whether a folder holds a plug-in that a controller would take; exit code 1 if not')
+	.argument('<dir>')
+	.action(async (dir: string) => (await daemonTools()).check(dir))
+
+operators(plugins.command('reload'))
+	.description('read the INI file and the directory of plug-ins now, and try versions that failed once more')
+	.action(async (o: DaemonOptions) => (await daemonTools()).reload(at(o)))
+
+operators(plugins.command('disable'))
+	.description('ask a plug-in no more, until it is enabled or its controller restarts')
+	.argument('<name>')
+	.action(async (name: string, o: DaemonOptions) => (await daemonTools()).disable(at(o), name, true))
+
+operators(plugins.command('enable'))
+	.description('ask a plug-in again')
+	.argument('<name>')
+	.action(async (name: string, o: DaemonOptions) => (await daemonTools()).disable(at(o), name, false))
+
+operators(program.command('drain'))
+	.description('end controllers so that neither users nor machines notice, one after the other')
+	.action(async (o: DaemonOptions) => (await daemonTools()).drain(at(o)))
+
 program.parseAsync().catch((e) => {
 	process.stderr.write(`heathroad: ${(e as Error).message}\n`)
 	process.exit(EXIT.refused)
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -11,6 +11,10 @@
 				verbs: 'packages/cli/src/verbs.ts',
 				state: 'packages/cli/src/state-tools.ts',
 				grpc: 'packages/grpc/src/index.ts',
+				daemon: 'packages/cli/src/daemon-tools.ts',
+				metrics: 'packages/metrics/src/index.ts',
+				plugins: 'packages/plugins/src/index.ts',
+				'plugin-thread': 'packages/plugins/src/thread.ts',
 			},
 	outdir: 'target',
 })
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,6 +4,9 @@
 /** Packages that a process loads only when it needs them; each is a bundle of its own beside the one that asks. */
 const LATER = {
 	'@heathroad/grpc': './grpc.cjs',
+	'@heathroad/metrics': './metrics.cjs',
+	'@heathroad/plugins': './plugins.cjs',
+	'./daemon-tools.js': './daemon.cjs',
 	'./verbs.js': './verbs.cjs',
 	'./state-tools.js': './state.cjs',
 }
@@ -11,8 +14,9 @@
 const later = {
 	name: 'later',
 	setup(build) {
-		build.onResolve({ filter: /^(@heathroad\/grpc|\.\/verbs\.js|\.\/state-tools\.js)$/ }, ({ path, kind }) =>
-			kind === 'dynamic-import' ? { path: LATER[path], external: true } : undefined,
+		build.onResolve(
+			{ filter: /^(@heathroad\/(grpc|metrics|plugins)|\.\/(verbs|state-tools|daemon-tools)\.js)$/ },
+			({ path, kind }) => (kind === 'dynamic-import' ? { path: LATER[path], external: true } : undefined),
 		)
 	},
 }
@@ -25,7 +29,7 @@
 	outExtension: { '.js': '.cjs' },
 	loader: { '.proto': 'text' },
 	// They read files that lie beside their code.
-	external: ['@grpc/*', 'grpc-health-check', 'protobufjs', 'esbuild', 'roaring-wasm'],
+	external: ['@grpc/*', 'grpc-health-check', 'protobufjs', 'esbuild', 'roaring-wasm', '@jitl/*'],
 	logLevel: 'warning',
 }
 
--- /dev/null
+++ b/tests/daemon.test.ts
@@ -0,0 +1,257 @@
+import assert from 'node:assert/strict'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { test } from 'node:test'
+import { ConfigError, DEFAULTS, readIni } from '@heathroad/config'
+import {
+	answerAdmin,
+	type Daemon,
+	type Drain,
+	type DrainState,
+	needRestart,
+	nextPhase,
+} from '@heathroad/daemon'
+import { tellMetrics } from '@heathroad/metrics'
+import type { PluginHost } from '@heathroad/plugins'
+import { sweep, World } from '@heathroad/testkit'
+import type { Reply } from '@heathroad/wire'
+
+test('what a drain does next', () => {
+	const state = (more: Partial<DrainState>): DrainState => ({
+		phase: 'leaving',
+		sinceMs: 5000,
+		parts: 1,
+		submissions: 0,
+		alone: false,
+		...more,
+	})
+	const rows: [name: string, at: Partial<DrainState>, next: string][] = [
+		['begins', { phase: 'serving', sinceMs: 0 }, 'leaving'],
+		['the balancer has not noticed yet', { sinceMs: 3900 }, 'leaving'],
+		['it has', {}, 'handing'],
+		['a part is still here', { phase: 'handing' }, 'handing'],
+		['a submission waits for its answer', { phase: 'handing', parts: 0, submissions: 1 }, 'handing'],
+		['nothing is left', { phase: 'handing', parts: 0 }, 'over'],
+		['nobody else could have its parts', { alone: true }, 'over'],
+		['its time is over', { phase: 'handing', sinceMs: 30_000, submissions: 3 }, 'over'],
+	]
+	for (const [name, at, next] of rows)
+		assert.equal(nextPhase(state(at), { drainS: 30, balancerS: 4 }), next, name)
+})
+
+const submissions = (world: World) => ({
+	refused: [...world.submissions].reduce((n, [status, count]) => n + (status >= 429 ? count : 0), 0),
+	unanswered: world.submissions.get(0) ?? 0,
+})
+
+test('all controllers drained one after the other: no submission is refused or lost, no lease runs out', async () => {
+	const run = async (kind: 'drain' | 'crash') => {
+		const world = new World({
+			seed: 61,
+			untilS: 260,
+			balanced: true,
+			capacity: 6,
+			jobs: Array.from({ length: 220 }, (_, i) => ({
+				atS: 4 + i * 0.7,
+				spec: sweep(`job-006${String(i).padStart(3, '0')}`, { tasks: 3, expectedS: 10 }),
+			})),
+			troubles: [0, 1, 2].map((i) => ({ atS: 30 + i * 40, kind, who: [i], forS: 4 })),
+		})
+		let leases = 0
+		let drained = 0
+		world.tell = (line) => {
+			if (/ lease over /.test(line)) leases++
+			if (/ draining .*"over"/.test(line)) drained++
+		}
+		await world.play()
+		assert.deepEqual(world.rules.broken, [])
+		assert.deepEqual(world.rules.unfinished(), [])
+		return { ...submissions(world), leases, drained }
+	}
+	const drain = await run('drain')
+	assert.deepEqual(drain, { refused: 0, unanswered: 0, leases: 0, drained: 3 })
+	const crash = await run('crash')
+	assert.ok(crash.unanswered > 0, 'what a crash loses, which a drain must not')
+})
+
+test('a drain while the state is down, or while others are gone, ends in its time and loses nothing', async () => {
+	const rows: { name: string; troubles: ConstructorParameters<typeof World>[0]['troubles'] }[] = [
+		{
+			name: 'the state goes down as parts are handed over',
+			troubles: [
+				{ atS: 30, kind: 'drain', who: [1] },
+				{ atS: 34, kind: 'stateDown', forS: 20 },
+			],
+		},
+		{
+			name: 'all others have crashed',
+			troubles: [
+				{ atS: 30, kind: 'drain', who: [1] },
+				{ atS: 31, kind: 'crash', who: [0, 2], forS: 45 },
+			],
+		},
+		{
+			name: 'all at once',
+			troubles: [{ atS: 30, kind: 'drain', who: [0, 1, 2] }],
+		},
+		{
+			name: 'killed half way',
+			troubles: [
+				{ atS: 30, kind: 'drain', who: [1] },
+				{ atS: 35, kind: 'crash', who: [1] },
+			],
+		},
+	]
+	for (const { name, troubles } of rows) {
+		const jobs = Array.from({ length: 30 }, (_, i) => ({
+			atS: 2 + i * 2,
+			spec: sweep(`job-0070${String(i).padStart(2, '0')}`, { tasks: 6, expectedS: 8 }),
+		}))
+		const world = new World({ seed: 62, untilS: 300, jobs, troubles, loss: 0.01, lossUntilS: 200 })
+		const over: number[] = []
+		world.tell = (line) => {
+			const at = /^(\d+) \S+ draining .*"phase":"over"/.exec(line)
+			if (at !== null) over.push(Number(at[1]))
+		}
+		await world.play()
+		assert.deepEqual(world.rules.broken, [], name)
+		assert.deepEqual(world.rules.unfinished(), [], name)
+		assert.ok(
+			over.every((ms) => ms <= 30_000 + 30_500),
+			`${name}: ${over}`,
+		)
+		assert.ok(over.length > 0 || name === 'killed half way', name)
+	}
+})
+
+const withIni = async <A>(text: string, work: (path: string) => A): Promise<A> => {
+	const dir = await mkdtemp(join(tmpdir(), 'ini-'))
+	try {
+		const path = join(dir, 'a.ini')
+		await writeFile(path, text)
+		return work(path)
+	} finally {
+		await rm(dir, { recursive: true })
+	}
+}
+
+test('INI: plug-ins, and what is wrong with them', async () => {
+	const full = `[plugins]
+dir = /etc/plugins
+[plugin.payout-check]
+hold_at_most_s = 60
+when_unsure = hold-until-limit
+classes = merchant-payout, payout-2
+grant = team-jobs`
+	const read = await withIni(full, readIni)
+	assert.deepEqual(read.plugins, {
+		dir: '/etc/plugins',
+		lookS: 5,
+		plugins: {
+			'payout-check': {
+				holdAtMostS: 60,
+				admitMs: 500,
+				callMs: 200,
+				memoryMb: 8,
+				whenUnsure: 'hold',
+				classes: ['merchant-payout', 'payout-2'],
+				teams: null,
+				grant: ['team-jobs'],
+			},
+		},
+	})
+	const rows: [name: string, text: string, what: RegExp][] = [
+		['a plug-in without the section of all', '[plugin.a]\n', /\[plugin\.a\]: needs a section \[plugins\]/],
+		['no directory', '[plugins]\n', /plugins\.dir: must be a directory/],
+		['a key that nobody knows', '[plugins]\ndir = x\n[plugin.a]\nhold = 3', /plugin\.a\.hold: no such key/],
+		['out of range', '[plugins]\ndir = x\n[plugin.a]\ncall_ms = 1', /plugin\.a\.call_ms: must be a number/],
+		['neither of two', '[plugins]\ndir = x\n[plugin.a]\nwhen_unsure = maybe', /when_unsure: must be/],
+		['a grant that nobody knows', '[plugins]\ndir = x\n[plugin.a]\ngrant = root', /grant: root is none of/],
+		['a bad name', '[plugins]\ndir = x\n[plugin.A B]\n', /the name is small letters/],
+		['metrics without an address', '[metrics]\n', /metrics\.listen: must be an IPv4 address/],
+		['a drain of no time', '[daemon]\ndrain_s = 0', /daemon\.drain_s: must be a number from 1/],
+	]
+	for (const [name, text, what] of rows)
+		await withIni(text, (path) =>
+			assert.throws(
+				() => readIni(path),
+				(e) => e instanceof ConfigError && what.test(e.message),
+				name,
+			),
+		)
+})
+
+test('a reload says what it cannot take over', () => {
+	const before = { ...DEFAULTS } as Parameters<typeof needRestart>[0]
+	assert.deepEqual(needRestart(before, DEFAULTS), [])
+	const after = {
+		...DEFAULTS,
+		tuning: { ...DEFAULTS.tuning, idleReports: 9 },
+		metrics: { listen: '127.0.0.1:1' },
+	}
+	assert.deepEqual(needRestart(before, after), ['metrics'])
+})
+
+test("operators' calls", async () => {
+	const told: string[] = []
+	const host = {
+		list: () => [{ name: 'one' }],
+		disable: (name: string, off: boolean) => told.push(`${name} ${off}`) > 0 && name === 'one',
+	} as unknown as PluginHost
+	const daemon = (plugins: PluginHost | null): Daemon => ({
+		plugins,
+		drain: { phase: 'leaving' } as Drain,
+		reload: () => (plugins === null ? Promise.reject(new Error('a.ini: no')) : Promise.resolve(['a line'])),
+		end: () => told.push('end'),
+	})
+	const ask = (d: Daemon, path: string, body: unknown = {}) =>
+		new Promise<Reply>((done) => answerAdmin(d, path, body, done))
+	const rows: [path: string, body: unknown, plugins: PluginHost | null, status: number][] = [
+		['/admin/plugins', {}, host, 200],
+		['/admin/plugins', {}, null, 200],
+		['/admin/disable', { name: 'one' }, host, 200],
+		['/admin/enable', { name: 'one' }, host, 200],
+		['/admin/disable', { name: 'two' }, host, 404],
+		['/admin/disable', {}, host, 400],
+		['/admin/disable', { name: 'one' }, null, 409],
+		['/admin/reload', {}, host, 200],
+		['/admin/reload', {}, null, 409],
+		['/admin/drain', {}, host, 202],
+		['/admin/else', {}, host, 404],
+	]
+	for (const [path, body, plugins, status] of rows)
+		assert.equal((await ask(daemon(plugins), path, body)).status, status, `${path} ${JSON.stringify(body)}`)
+	assert.deepEqual(told, ['one true', 'one false', 'two true', 'end'])
+})
+
+test('metrics: figures of the moment, one page, nothing else', async () => {
+	let open = 3
+	const { port, close } = await tellMetrics('127.0.0.1:0', {
+		figures: () => ({ openJobs: open, right: 'grant', healthy: true }),
+		plugins: () => [
+			{
+				name: 'one',
+				condition: 'ready',
+				queued: 2,
+				asked: 9,
+				answered: 7,
+				unsure: 0,
+				upgrades: 0,
+				rollbacks: 0,
+			},
+		],
+	})
+	const page = async (path: string) => {
+		const r = await fetch(`http://127.0.0.1:${port}${path}`)
+		return { status: r.status, text: await r.text() }
+	}
+	assert.match((await page('/metrics')).text, /^heathroad_open_jobs 3$/m)
+	open = 4
+	const { text } = await page('/metrics')
+	for (const line of ['heathroad_open_jobs 4', 'heathroad_healthy 1', 'heathroad_right{right="grant"} 1'])
+		assert.ok(text.includes(`\n${line}\n`), line)
+	assert.ok(text.includes('heathroad_plugin_queued{plugin="one"} 2'))
+	assert.equal((await page('/else')).status, 404)
+	close()
+})
