--- a/packages/cli/src/daemon-tools.ts
+++ b/packages/cli/src/daemon-tools.ts
@@ -1,3 +1,4 @@
+import { readManifest } from '@heathroad/plugin-api'
 import { type Loaded, type PluginInfo, type Problem, scanFolder } from '@heathroad/plugins'
 import { isMap, makeCaller } from '@heathroad/wire'
 import { Effect } from 'effect'
@@ -91,7 +92,7 @@
 
 /** Reads one plug-in's folder as a controller would. */
 export const check = async (dir: string): Promise<void> => {
-	const read: Loaded | Problem = await scanFolder(dir)
+	const read: Loaded | Problem = await scanFolder(dir, readManifest)
 	if ('manifest' in read) {
 		const { name, version, hooks } = read.manifest
 		return print(`${dir}: ${name} ${version}, ${hooks.join(' and ')}`)
--- a/packages/daemon/src/plugins.ts
+++ b/packages/daemon/src/plugins.ts
@@ -1,4 +1,5 @@
 import type { PluginsSettings } from '@heathroad/config'
+import { readManifest } from '@heathroad/plugin-api'
 import type { PluginHost } from '@heathroad/plugins'
 import type { Service } from '@heathroad/server'
 
@@ -8,7 +9,7 @@
 	const teams = service.config.settings.deployment.teams
 	const host = new PluginHost(settings, {
 		now: service.now,
-		scan: scanDirectory,
+		scan: (dir) => scanDirectory(dir, readManifest),
 		seating: threads(THREAD_FILE),
 		log: service.log,
 		team: (name) => {
--- a/packages/plugin-api/src/index.ts
+++ b/packages/plugin-api/src/index.ts
@@ -1,4 +1,5 @@
 export * from './answers.js'
+export * from './fit.js'
 export * from './manifest.js'
 export * from './trial.js'
 export * from './types.js'
--- a/packages/plugin-api/src/manifest.ts
+++ b/packages/plugin-api/src/manifest.ts
@@ -1,10 +1,7 @@
 import { Result, Schema, SchemaIssue } from 'effect'
+import { BadManifest } from './fit.js'
 import { API } from './types.js'
 
-export const MANIFEST = 'plugin.json'
-/** Bytes of the module, and of the manifest. */
-export const MOST_BYTES = 512 * 1024
-
 const word = /^[a-z][a-z0-9-]{0,39}$/
 const name = Schema.String.check(
 	Schema.isPattern(word, { expected: 'a name of small letters, digits and dashes, at most 40' }),
@@ -50,18 +47,6 @@
 const decode = Schema.decodeUnknownResult(Manifest, { onExcessProperty: 'error' })
 const issuesOf = SchemaIssue.makeFormatterStandardSchemaV1()
 
-/** What is wrong with a manifest: the field, null for the whole, and why. */
-export class BadManifest {
-	constructor(
-		readonly field: string | null,
-		readonly why: string,
-	) {}
-
-	toString(): string {
-		return this.field === null ? this.why : `${this.field}: ${this.why}`
-	}
-}
-
 export const readManifest = (text: string): Manifest | BadManifest => {
 	let value: unknown
 	try {
@@ -75,7 +60,3 @@
 	const field = first.path?.map(String).join('.') ?? ''
 	return new BadManifest(field === '' ? null : field, first.message)
 }
-
-/** Is this plug-in asked about jobs of that class and team? */
-export const concerns = (m: Manifest, job: { jobClass: string; team: string }): boolean =>
-	(m.classes?.includes(job.jobClass) ?? true) && (m.teams?.includes(job.team) ?? true)
--- a/packages/plugins/src/directory.ts
+++ b/packages/plugins/src/directory.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import { type FileHandle, open, readdir, realpath } from 'node:fs/promises'
 import { join, sep } from 'node:path'
-import { BadManifest, MANIFEST, type Manifest, MOST_BYTES, readManifest } from '@heathroad/plugin-api'
+import { BadManifest, MANIFEST, type Manifest, MOST_BYTES, type ReadManifest } from '@heathroad/plugin-api'
 
 /** A plug-in as it lies in the directory, read in full. */
 export interface Loaded {
@@ -81,7 +81,7 @@
 	}
 }
 
-const readFolder = async (root: string, folder: string): Promise<Loaded> => {
+const readFolder = async (root: string, folder: string, readManifest: ReadManifest): Promise<Loaded> => {
 	const file = join(folder, MANIFEST)
 	const manifest = readManifest((await readInside(root, file)).toString('utf8'))
 	if (manifest instanceof BadManifest) throw new Unfit(file, manifest.field, manifest.why)
@@ -102,9 +102,9 @@
 		: { file, field: null, why: `cannot be read (${code(e)})`, name: null }
 
 /** Reads one plug-in's folder. */
-export const scanFolder = async (folder: string): Promise<Loaded | Problem> => {
+export const scanFolder = async (folder: string, readManifest: ReadManifest): Promise<Loaded | Problem> => {
 	try {
-		return await readFolder(await realpath(folder), folder)
+		return await readFolder(await realpath(folder), folder, readManifest)
 	} catch (e) {
 		return problem(e, folder)
 	}
@@ -114,7 +114,7 @@
  * Reads every folder of the directory. What does not fit is told and left out, and the others go on; of two that have one
  * name neither is taken, since nobody can say which was meant.
  */
-export const scanDirectory = async (dir: string): Promise<Scan> => {
+export const scanDirectory = async (dir: string, readManifest: ReadManifest): Promise<Scan> => {
 	const found: Loaded[] = []
 	const problems: Problem[] = []
 	let root: string
@@ -131,7 +131,7 @@
 	for (const entry of entries) {
 		const folder = join(root, entry)
 		try {
-			found.push(await readFolder(root, folder))
+			found.push(await readFolder(root, folder, readManifest))
 		} catch (e) {
 			problems.push(problem(e, folder))
 		}
--- a/scripts/measure-plugins.mjs
+++ b/scripts/measure-plugins.mjs
@@ -31,7 +31,7 @@
 const ini = (n, grant) => {
 	const path = join(base, `${n}-${grant}.ini`)
 	const sections = names
-		.slice(0, n)
+		.slice(0, Math.max(0, n))
 		.map((name) => `[plugin.${name}]\n${grant === '' ? '' : `grant = ${grant}\n`}`)
 	const plugins = n < 0 ? '' : `[plugins]\ndir = ${join(base, 'plugins')}\n`
 	writeFileSync(path, `[history]\n${plugins}${sections.join('')}`)
@@ -73,7 +73,7 @@
 		{ dir: join(base, 'plugins'), lookS: 60, plugins: { 'check-1': { ...settings, grant } } },
 		{
 			now: () => performance.now(),
-			scan: scanDirectory,
+			scan: (dir) => scanDirectory(dir, JSON.parse),
 			seating: threads(THREAD_FILE),
 			log: () => {},
 			team: (name) => ({ name, cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 }),
--- a/tests/plugins.test.ts
+++ b/tests/plugins.test.ts
@@ -121,7 +121,7 @@
 		await symlink(join(base, 'outside', 'index.js'), join(dir, 'linked-main', 'index.js'))
 		await put(dir, 'large', 'x'.repeat(600 * 1024))
 		await writeFile(join(dir, 'README'), 'no folder')
-		const { found, problems } = await scanDirectory(dir)
+		const { found, problems } = await scanDirectory(dir, readManifest)
 		assert.deepEqual(
 			found.map((f) => f.manifest.name),
 			['good'],
@@ -141,8 +141,8 @@
 		]
 		for (const [file, what] of rows) assert.match(told[file] ?? 'nothing', what, file)
 		assert.equal(problems.length, rows.length)
-		assert.ok('manifest' in (await scanFolder(join(dir, 'good'))))
-		const nowhere = await scanDirectory(join(dir, 'nowhere'))
+		assert.ok('manifest' in (await scanFolder(join(dir, 'good'), readManifest)))
+		const nowhere = await scanDirectory(join(dir, 'nowhere'), readManifest)
 		assert.match(nowhere.problems[0].why, /cannot be read \(ENOENT\)/)
 	} finally {
 		await rm(base, { recursive: true })
@@ -335,7 +335,7 @@
 	const dir = await mkdtemp(join(tmpdir(), 'guide-'))
 	try {
 		await put(dir, 'night-check', source, { ...JSON.parse(json), digest: digestOf(Buffer.from(source)) })
-		const read = await scanFolder(join(dir, 'night-check'))
+		const read = await scanFolder(join(dir, 'night-check'), readManifest)
 		assert.ok('manifest' in read, JSON.stringify(read))
 		const module = await import(`data:text/javascript;base64,${Buffer.from(source).toString('base64')}`)
 		const tried = tryPlugin(module)
@@ -351,7 +351,7 @@
 })
 
 test('the examples under deploy/ are whole, and their settings name them', async () => {
-	const { found, problems } = await scanDirectory('deploy/plugins')
+	const { found, problems } = await scanDirectory('deploy/plugins', readManifest)
 	assert.deepEqual(problems, [])
 	const { plugins } = readIni('deploy/plugins.ini')
 	assert.deepEqual(Object.keys(plugins!.plugins).sort(), found.map((f) => f.manifest.name).sort())
