--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -1,19 +1,11 @@
 import * as http from 'node:http'
+import type { PluginInfo } from '@heathroad/plugins'
 import { Gauge, Registry } from 'prom-client'
 
 /** What is told, counted when somebody asks. */
 export interface Figures {
 	figures(): Record<string, number | string | boolean>
-	plugins(): readonly {
-		name: string
-		condition: string
-		queued: number
-		asked: number
-		answered: number
-		unsure: number
-		upgrades: number
-		rollbacks: number
-	}[]
+	plugins(): readonly PluginInfo[]
 }
 
 const NAMES: Record<string, [name: string, help: string]> = {
--- a/packages/testkit/src/plugindays.ts
+++ b/packages/testkit/src/plugindays.ts
@@ -48,6 +48,8 @@
 export interface CheckedDay extends Day {
 	plugins: Record<string, PluginSettings>
 	directory: FakeDirectory
+	/** each controller sees a change of its directory so many seconds after the one before it */
+	lagS?: number
 	/** at so many seconds the directory holds another version */
 	upgrades?: readonly { atS: number; name: string; to: FakeVersion | null }[]
 }
@@ -67,7 +69,7 @@
 	world.tell = tell
 	const released = new Set<string>()
 	const submitted = new Map(day.jobs.map((j) => [j.spec.uid, j]))
-	const directory: FakeDirectory = {}
+	const directories = Array.from({ length: day.controllers ?? 3 }, (): FakeDirectory => ({}))
 	const out: Checked = {
 		world,
 		broken: world.rules.broken,
@@ -84,11 +86,14 @@
 			if (call.nowMs - (out.firstStart.get(uid) ?? Number.POSITIVE_INFINITY) > UNDER_WAY_MS) out.late++
 		} else if (typeof value === 'object' && value !== null && 'release' in value) released.add(uid)
 	}
-	const put = (name: string, v: FakeVersion | null) => {
-		directory[name] = watched(v, note)
+	for (const [i, directory] of directories.entries()) {
+		const put = (name: string, v: FakeVersion | null) => {
+			directory[name] = watched(v, note)
+		}
+		for (const [name, v] of Object.entries(day.directory)) put(name, v)
+		for (const u of day.upgrades ?? [])
+			world.clock.after((u.atS + i * (day.lagS ?? 0)) * 1000, () => put(u.name, u.to))
 	}
-	for (const [name, v] of Object.entries(day.directory)) put(name, v)
-	for (const u of day.upgrades ?? []) world.clock.after(u.atS * 1000, () => put(u.name, u.to))
 	const limitMs = Math.min(...Object.values(day.plugins).map((p) => p.holdAtMostS * 1000))
 	const unsure = Object.values(day.plugins).some((p) => p.whenUnsure === 'release')
 	const grouped = Object.values(day.directory).some((v) => v?.ask === 'class')
@@ -109,7 +114,7 @@
 		placed(task, machine, type, zone, spot)
 	}
 	world.started = (i, node) => {
-		const host = fakePlugins(world.clock, i, node, directory, day.plugins)
+		const host = fakePlugins(world.clock, i, node, directories[i], day.plugins)
 		out.hosts[i] = host
 		node.checks = host
 	}
--- a/tests/daemon.test.ts
+++ b/tests/daemon.test.ts
@@ -232,6 +232,7 @@
 		plugins: () => [
 			{
 				name: 'one',
+				version: null,
 				condition: 'ready',
 				queued: 2,
 				asked: 9,
--- a/tests/plugindays.test.ts
+++ b/tests/plugindays.test.ts
@@ -67,6 +67,14 @@
 		name: 'the same for a whole class at a time',
 		day: { troubles, directory: { one: version('1', patient(8), { ask: 'class' }) } },
 	},
+	{
+		name: 'controllers with different versions of one plug-in for a while, over drains and crashes',
+		day: {
+			lagS: 25,
+			upgrades: [{ atS: 15, name: 'one', to: version('2', patient(2)) }],
+			troubles: [...troubles, { atS: 28, kind: 'drain', who: [1], forS: 4 }],
+		},
+	},
 	{
 		name: 'two checks, both of which must release',
 		day: {
