Derive which held jobs have passed, and withdraw questions in one place

A flag repeated what the set of passed jobs says, and two loops took a job out of its questions alike.

--- a/packages/controller/src/gate.ts
+++ b/packages/controller/src/gate.ts
@@ -19,8 +19,6 @@
 	at: number
 	/** checks that have not released it yet */
 	waits: Set<string>
-	/** every check has, or its time is over: what is left is to make that durable */
-	passed: boolean
 }
 
 /** What one check is asked about: a job, or all jobs of a class and team that wait for it. */
@@ -58,6 +56,7 @@
 	private readonly questions = new Map<string, Question>()
 	private readonly asks = new TinyQueue<Question>([], (a, b) => a.askAt - b.askAt)
 	private readonly limits = new TinyQueue<Limit>([], (a, b) => a.at - b.at)
+	/** released by every check, or their time is over: what is left is to make that durable */
 	private readonly passed = new Set<Held>()
 	private asking = 0
 	private writing = false
@@ -82,7 +81,6 @@
 			spec,
 			at: record.at ?? 0,
 			waits: new Set(record.checks ?? []),
-			passed: false,
 		}
 		this.held.set(job.uid, job)
 		const now = this.s.ports.now()
@@ -127,12 +125,14 @@
 		if (job === undefined) return
 		this.held.delete(uid)
 		this.passed.delete(job)
-		for (const [key, q] of this.ofJob(job)) {
-			q.jobs.delete(job)
-			if (q.jobs.size > 0) continue
-			q.over = true
-			this.questions.delete(key)
-		}
+		for (const [key, q] of this.ofJob(job)) this.withdraw(job, key, q)
+	}
+
+	private withdraw(job: Held, key: string, q: Question): void {
+		q.jobs.delete(job)
+		if (q.jobs.size > 0) return
+		q.over = true
+		this.questions.delete(key)
 	}
 
 	private *ofJob(job: Held): Iterable<[string, Question]> {
@@ -231,18 +231,10 @@
 	}
 
 	private releasedBy(job: Held, name: string, why: string): void {
-		for (const [key, q] of this.ofJob(job)) {
-			if (q.name !== name) continue
-			q.jobs.delete(job)
-			if (q.jobs.size > 0) continue
-			q.over = true
-			this.questions.delete(key)
-		}
+		for (const [key, q] of this.ofJob(job)) if (q.name === name) this.withdraw(job, key, q)
 		job.waits.delete(name)
 		this.s.ports.log('info', 'check passed', { uid: job.uid, check: name, why })
-		if (job.waits.size > 0 || job.passed) return
-		job.passed = true
-		this.passed.add(job)
+		if (job.waits.size === 0) this.passed.add(job)
 	}
 
 	/** One write at a time, with all that were released meanwhile. */
