Tell cut-off owners every cancellation they have not heard of, however old

Cause: a member that promises an owner to leave its parts alone told it the cancellations of the last cancel_s, of those parts, and the owner ended the jobs that it held at that moment. A read that was older than the promise could open them again, a grant that was extended without any news from the records lasted for ever. Change: an owner names the epoch up to which it knows the records, and is told all cancellations behind it or gets no promise; what it is told holds against every older read; it acts on its grant only while it knows the records as of two grants ago; where silence and a lease together take longer than cancel_s, a cancellation is confirmed so much later.

--- a/packages/cluster/src/index.ts
+++ b/packages/cluster/src/index.ts
@@ -1,3 +1,4 @@
+export * from './cancellations.js'
 export * from './finals.js'
 export * from './fleets.js'
 export * from './jobs.js'
--- a/packages/cluster/src/jobs.ts
+++ b/packages/cluster/src/jobs.ts
@@ -1,6 +1,7 @@
 import type { Entry, Mirror } from '@heathroad/store'
-import { asPage, type Ended, endedRecord } from './pages.js'
-import { asIntake, asJob, type JobRecord, jobKey } from './records.js'
+import type { Cancelled } from './cancellations.js'
+import { asPage, type Ended, ended, endedRecord } from './pages.js'
+import { asIntake, asJob, type JobRecord, jobKey, recordedDone } from './records.js'
 
 /** A job that is over, on a page. */
 interface Over {
@@ -21,6 +22,11 @@
 export class JobBook {
 	private readonly accepted = new Map<string, JobRecord>()
 	private readonly over = new Map<string, Over>()
+	/**
+	 * cancelled by changes that are durable and that our copy of the records has yet to tell: a read that is older than
+	 * what a peer told must not open the job again
+	 */
+	private readonly ahead = new Map<string, number>()
 	/** no longer on the page where they were: moved to another one by the same change, or archived */
 	private missing: { uid: string; key: string }[] = []
 	/** jobs not in a final state */
@@ -32,7 +38,25 @@
 	get(uid: string): { record: JobRecord; stamp: number } | undefined {
 		const own = this.mirror.get(jobKey(uid))
 		const record = this.over.get(uid)?.record ?? asJob(own?.data) ?? this.accepted.get(uid)
-		return record === undefined ? undefined : { record, stamp: own?.stamp ?? 0 }
+		if (record === undefined) return undefined
+		const known = record.final === undefined && this.ahead.has(uid) ? this.cancelled(uid, record) : record
+		return { record: known, stamp: own?.stamp ?? 0 }
+	}
+
+	private cancelled(uid: string, { part, spec, ...r }: JobRecord): JobRecord {
+		const count = recordedDone(uid, { part, spec, ...r }, (key) => this.mirror.get(key)?.data)
+		const over = endedRecord(part, ended(uid, 'aborted', spec, count))
+		return { ...over, spec }
+	}
+
+	/** Peers tell of cancellations that our copy of the records may not hold yet: the jobs that this ends here. */
+	told(all: readonly Cancelled[]): string[] {
+		const news = all.filter(({ uid, epoch }) => epoch > this.mirror.epoch && !this.ahead.has(uid))
+		for (const { uid, epoch } of news) {
+			this.ahead.set(uid, epoch)
+			this.open.delete(uid)
+		}
+		return news.map(({ uid }) => uid)
 	}
 
 	/** A job that is over, and the epoch of the change that made that durable. */
@@ -68,6 +92,7 @@
 	changed(uid: string, record: JobRecord): boolean {
 		this.accepted.delete(uid)
 		if (this.over.has(uid)) return false
+		if (record.final === undefined && this.ahead.has(uid)) return false
 		if (record.final === undefined) this.open.add(uid)
 		else this.open.delete(uid)
 		return true
@@ -80,6 +105,7 @@
 			const uid = record.spec!.uid
 			if (this.get(uid) !== undefined) continue
 			this.accepted.set(uid, record)
+			if (this.ahead.has(uid)) continue
 			this.open.add(uid)
 			fresh.push(record)
 		}
@@ -121,6 +147,7 @@
 
 	/** Everything up to an epoch is applied: the final states that are in memory no longer. */
 	settle(): string[] {
+		for (const [uid, epoch] of this.ahead) if (epoch <= this.mirror.epoch) this.ahead.delete(uid)
 		if (this.missing.length === 0) return []
 		const left = this.missing.filter(({ uid, key }) => this.over.get(uid)?.key === key).map((m) => m.uid)
 		this.missing = []
--- a/packages/cluster/src/membership.ts
+++ b/packages/cluster/src/membership.ts
@@ -3,6 +3,7 @@
 import { ROOT } from '@heathroad/store'
 import { type Caller, isMap } from '@heathroad/wire'
 import { Effect } from 'effect'
+import { type Cancelled, readCancelled, readQuestion, writeCancelled } from './cancellations.js'
 import { asPart, lastOwnerKey, partKey } from './records.js'
 
 /** What an owner may do at this moment. */
@@ -60,9 +61,10 @@
 		'running' | 'ready' | 'empty' | 'suspect' | 'sought' | 'stranded' | 'used' | 'history'
 	>
 	heard(news: PeerNews): void
-	/** jobs of these parts that were cancelled within the last `cancel_s`, for a peer cut off from the state */
-	cancelled(parts: number[]): string[]
-	applyCancelled(uids: string[]): void
+	/** jobs that were cancelled behind an epoch, for a peer cut off from the state; null: not all of them are known */
+	cancelled(epoch: number): Cancelled[] | null
+	/** a peer told what it knows of cancellations while we are cut off from the state */
+	applyCancelled(all: readonly Cancelled[]): void
 	log(level: 'info' | 'debug' | 'error', event: string, fields?: Record<string, unknown>): void
 }
 
@@ -87,7 +89,7 @@
 	/** this controller is about to end: its parts go to others, and none comes to it */
 	leaving = false
 	private lastStateOk = Number.NEGATIVE_INFINITY
-	/** promises we gave: member -> until when we adopt none of its parts and confirm no cancellation in them */
+	/** promises we gave: member -> until when we adopt none of its parts */
 	private readonly given = new Map<string, number>()
 	private readonly absentSince = new Map<number, number>()
 	private taking = new Set<number>()
@@ -135,8 +137,12 @@
 		this.events.log('info', 'stood still', { ms: Math.round(stoodMs) })
 	}
 
+	/**
+	 * With a grant that is extended and records that nothing is heard of any more, an owner would never learn of a
+	 * cancellation (incident 21): it acts on its grant only if it knows the records as of not long ago.
+	 */
 	right(now = this.now()): Right {
-		if (now < this.rightUntil) return 'grant'
+		if (now < this.rightUntil && this.mirror.ageMs(now) < this.d.staleMs) return 'grant'
 		if (this.grant !== null && this.peers.every((p) => now < p.promised)) return 'promise'
 		return 'none'
 	}
@@ -160,12 +166,6 @@
 		return this.d.grantMs * 0.6
 	}
 
-	/** A cancellation in a part whose cut-off owner has our promise must wait until that promise is over. */
-	mayConfirmCancel(part: number): boolean {
-		const owner = asPart(this.mirror.get(partKey(part))?.data)?.owner
-		return owner === undefined || owner === this.d.self || !this.promisedTo(owner)
-	}
-
 	private promisedTo(member: string): boolean {
 		return this.now() < (this.given.get(member) ?? 0)
 	}
@@ -173,7 +173,7 @@
 	/** Keeps the grant alive. */
 	keepGrant(): Effect.Effect<never> {
 		const lifeMs = this.d.grantMs
-		const step = Effect.suspend(() => {
+		const step = Effect.suspend((): Effect.Effect<void, unknown> => {
 			const sent = this.now()
 			const until = sent + lifeMs * 0.999 - this.d.marginMs
 			if (this.grant === null)
@@ -185,6 +185,8 @@
 					}),
 				)
 			const grant = this.grant
+			// Whoever can extend its grant and does not hear of changes keeps its parts from those who do.
+			if (this.owned.size > 0 && this.mirror.ageMs(sent) >= this.d.staleMs) return Effect.fail('stale')
 			return this.client.extend(grant).pipe(
 				Effect.map(() => {
 					if (this.grant === grant) this.rightUntil = Math.max(this.rightUntil, until)
@@ -462,8 +464,7 @@
 			this.hear(message)
 			return this.ownNews()
 		}
-		if (path === '/peer/promise' && isMap(message) && typeof message.name === 'string')
-			return this.promise(message)
+		if (path === '/peer/promise') return this.promise(message)
 		return null
 	}
 
@@ -471,38 +472,44 @@
 	 * A member that cannot reach the state asks us not to adopt its parts for a short while. Only if we cannot
 	 * reach it either: otherwise the part is better off with somebody who can.
 	 */
-	private promise(message: Record<string, unknown>): unknown {
-		const member = String(message.name)
+	private promise(message: unknown): unknown {
+		const refused = { promised: false }
+		// A controller of an older version does not say what it knows: it falls silent, which is safe.
+		const question = readQuestion(message)
+		if (question === null) return refused
 		this.pulse()
 		const now = this.now()
 		if (this.stateHeardWithin(this.d.grantMs * 0.25) || now - this.awakeSince < this.d.promiseMs)
-			return { promised: false }
-		const owned = isMap(message.owned) ? Object.entries(message.owned) : []
-		const parts = owned.map(([part]) => Number(part))
+			return refused
 		// Only for parts that are its own as far as we know, under the very token that it acts by. A take of ours that
 		// is still under way then began before that token and can no longer be applied: it names an older `last/` key.
-		for (const [part, token] of owned) {
-			const entry = this.mirror.get(partKey(Number(part)))
-			if (entry?.stamp !== token || asPart(entry?.data)?.owner !== member) return { promised: false }
+		for (const [part, token] of question.owned) {
+			const entry = this.mirror.get(partKey(part))
+			if (entry?.stamp !== token || asPart(entry?.data)?.owner !== question.name) return refused
+			if (this.taking.has(part) || this.owned.has(part)) return refused
 		}
-		if (parts.some((p) => this.taking.has(p) || this.owned.has(p))) return { promised: false }
-		this.given.set(member, now + this.d.promiseMs * 1.002)
-		return { promised: true, cancelled: this.events.cancelled(parts) }
+		// Whatever anybody here was ever told to be cancelled, and it does not know: it goes on only knowing that.
+		const cancelled = this.events.cancelled(question.epoch)
+		if (cancelled === null) return refused
+		this.given.set(question.name, now + this.d.promiseMs * 1.002)
+		return { promised: true, cancelled: writeCancelled(cancelled) }
 	}
 
 	private askPromises(): void {
 		if (this.owned.size === 0 || this.grant === null) return
 		const owned: Record<string, number> = {}
 		for (const { part, token } of this.owned.values()) owned[part] = token
-		const message = { name: this.d.self, owned }
+		const message = { name: this.d.self, owned, epoch: this.mirror.epoch }
 		for (const peer of this.peers) {
 			const sent = this.now()
 			Effect.runFork(
 				this.post(peer, '/peer/promise', message).pipe(
 					Effect.map((answer) => {
-						if (!isMap(answer) || answer.promised !== true) return
+						const cancelled =
+							isMap(answer) && answer.promised === true ? readCancelled(answer.cancelled) : null
+						if (cancelled === null) return
+						this.events.applyCancelled(cancelled)
 						peer.promised = Math.max(peer.promised, sent + this.d.promiseMs * 0.998)
-						if (Array.isArray(answer.cancelled)) this.events.applyCancelled(answer.cancelled.map(String))
 					}),
 				),
 			)
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -347,6 +347,12 @@
 	promiseMs: number
 	/** Taken off every right that ends on our clock. */
 	marginMs: number
+	/** How long one watch waits for a change. */
+	watchMs: number
+	/** An owner that does not know the records as of so long ago acts on its grant no more. */
+	staleMs: number
+	/** How long a cancellation must have been known before a user is told of it; 0 unless `cancel_s` is very short. */
+	confirmAfterMs: number
 	writesPerS: number
 	readsPerS: number
 	cloudPerS: number
@@ -371,6 +377,15 @@
 	jobs: (c.history ?? historyDefaults).batch,
 })
 
+/**
+ * Once a cancellation is durable, each owner hears of it from the records, or from the next promise that it is given, or
+ * falls silent: a grant is of no use beyond `staleMs` without the records, and a promise lasts no longer than a grant.
+ * From then on its workers are told to stop, or their leases run out. Where that takes longer than a cancellation may,
+ * counted from when its user is told, the user is told so much later.
+ */
+const confirmAfterMs = (cancelMs: number, staleMs: number, leaseMs: number): number =>
+	Math.max(0, staleMs + leaseMs - cancelMs)
+
 export const derive = (s: Settings): Derived => {
 	const names = [s.host_name, ...s.members.map((m) => m.host_name)].sort()
 	const d = s.deployment
@@ -379,6 +394,10 @@
 	const slackS = Math.max(0.5, w.cancel_s - w.lease_s)
 	const grantMs = Math.min(600_000, Math.max(1000, 1000 * Math.min(w.lease_s * 0.5, slackS * 0.25)))
 	const marginMs = grantMs * 0.06
+	const leaseMs = w.lease_s * 1000 * 1.002 + 300
+	// Two watches in a row that tell nothing, and one that fails, leave an owner its right.
+	const watchMs = grantMs * 0.5
+	const staleMs = grantMs * 2
 	// A job's record takes about half a KiB.
 	const intakePerS = (d.state.write_rps / names.length) * Math.max(1, d.state.value_kb * 2 - 1)
 	return {
@@ -386,11 +405,14 @@
 		self: s.host_name,
 		peers: s.members.map((m) => ({ name: m.host_name, address: m.peer_addr })),
 		reportMs: w.report_s * 1000,
-		leaseMs: w.lease_s * 1000 * 1.002 + 300,
+		leaseMs,
 		cancelMs: w.cancel_s * 1000,
 		grantMs: Math.round(grantMs),
 		promiseMs: Math.min(grantMs, 1000 * slackS * 0.15),
 		marginMs,
+		watchMs,
+		staleMs,
+		confirmAfterMs: confirmAfterMs(w.cancel_s * 1000, staleMs, leaseMs),
 		writesPerS: d.state.write_rps / names.length,
 		readsPerS: d.state.rps / names.length,
 		cloudPerS: d.cloud.rps / names.length,
--- a/packages/server/src/core.ts
+++ b/packages/server/src/core.ts
@@ -1,4 +1,4 @@
-import type { Fleets, JobBook, JobRecord, Membership } from '@heathroad/cluster'
+import type { Cancellations, Fleets, JobBook, JobRecord, Membership } from '@heathroad/cluster'
 import type { Config } from '@heathroad/config'
 import type { CapacityBook, Checks, Part } from '@heathroad/controller'
 import type { Found, Past } from '@heathroad/history'
@@ -34,6 +34,8 @@
 	readonly writer: Writer
 	readonly members: Membership
 	readonly jobs: JobBook
+	/** what the records tell of cancellations */
+	readonly cancellations: Cancellations
 	readonly fleets: Fleets
 	readonly capacity: CapacityBook
 	readonly history: Archive
--- a/packages/server/src/history.ts
+++ b/packages/server/src/history.ts
@@ -43,6 +43,8 @@
 	private stopped = false
 	/** keys of the first form that are over are left out of the full read under way */
 	private leaveOut: boolean
+	/** cancelled jobs are among what the full read under way leaves out */
+	private leftOut = false
 	/** jobs that the full read under way has met in records of acceptances */
 	private readonly namedByRead = new Set<string>()
 	/** steady time at which the latest turn became known here */
@@ -103,8 +105,10 @@
 		// Where none of the first form are left, an own key says that a cancellation has yet to be cleared away.
 		if (key === HISTORY) this.leaveOut = asHistory(data)?.legacy ?? true
 		if (key.startsWith('intake/')) for (const r of asIntake(data) ?? []) this.namedByRead.add(r.spec!.uid)
-		if (!this.leaveOut || !key.startsWith('job/') || asJob(data)?.final === undefined) return true
-		return this.namedByRead.has(key.slice('job/'.length))
+		const final = this.leaveOut && key.startsWith('job/') ? asJob(data)?.final : undefined
+		if (final === undefined || this.namedByRead.has(key.slice('job/'.length))) return true
+		if (final === 'aborted') this.leftOut = true
+		return false
 	}
 
 	/** The record of the form changed. */
@@ -118,6 +122,8 @@
 	/** A full read is complete; what happened since the last change that is known may never be told. */
 	reloaded(epoch: number): void {
 		this.namedByRead.clear()
+		if (this.leftOut) this.s.cancellations.incomplete(epoch)
+		this.leftOut = false
 		this.recall.reset(epoch)
 	}
 
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -5,6 +5,8 @@
 	asPart,
 	awaits,
 	CATALOG,
+	Cancellations,
+	type Cancelled,
 	Fleets,
 	HISTORY,
 	hash,
@@ -40,6 +42,9 @@
 import { Parting } from './parting.js'
 import { isForUsers, Users } from './users.js'
 
+/** How many cancellations are kept for owners that are cut off, and told in one message. */
+const CANCELLATIONS = 2000
+
 const LATER: Reply = { status: 503, retryAfterS: 1 }
 
 /** One controller: composes the parts it owns with the state, the cloud, its peers and its HTTP faces. */
@@ -66,7 +71,7 @@
 	readonly history: History
 	/** the records are of a form that this program does not know; nothing may be done with them */
 	onTooNew: (why: string) => void = () => {}
-	private cancelledLately: { uid: string; part: number; at: number }[] = []
+	readonly cancellations: Cancellations
 	/** where every recorded machine belongs */
 	readonly fleets = new Fleets()
 	/** reports of machines that are proven to have no record, about to be claimed together */
@@ -103,6 +108,7 @@
 		const gapMs = 3000 / derived.readsPerS
 		this.mirror = new Mirror((key, entry, before) => this.changed(key, entry, before), gapMs, now)
 		this.jobs = new JobBook(this.mirror)
+		this.cancellations = new Cancellations(CANCELLATIONS, now)
 		this.mirror.wants = (key, data) => this.history.wants(key, data)
 		this.mirror.onReload = (epoch) => this.history.reloaded(epoch)
 		this.mirror.onAdvance = () => {
@@ -130,10 +136,8 @@
 			unheard: (part) => this.parts.get(part)?.unheard() ?? 0,
 			news: () => this.news(),
 			heard: (news) => this.capacity.hear(news.empty, this.now()),
-			cancelled: (parts) => this.cancelledLately.filter((c) => parts.includes(c.part)).map((c) => c.uid),
-			applyCancelled: (uids) => {
-				for (const p of this.parts.values()) for (const uid of uids) p.applyCancelled(uid)
-			},
+			cancelled: (epoch) => this.cancellations.since(epoch),
+			applyCancelled: (all) => this.applyCancelled(all),
 			log,
 		})
 		this.history = new History(this, this.client, {
@@ -169,7 +173,7 @@
 	begin(): void {
 		const { derived } = this.config
 		this.fibers = [
-			Effect.runFork(this.mirror.follow(this.client, derived.grantMs * 2)),
+			Effect.runFork(this.mirror.follow(this.client, derived.watchMs, derived.grantMs * 0.06)),
 			Effect.runFork(this.members.keepGrant()),
 			Effect.runFork(this.watchCatalog()),
 		]
@@ -271,9 +275,6 @@
 		this.members.handToWhoHears()
 		if (this.course === 'handing') this.members.handAllOver(this.atOnce)
 		for (const p of this.parts.values()) p.tick()
-		const old = this.now() - this.config.derived.cancelMs
-		if (this.cancelledLately.length > 0 && this.cancelledLately[0].at < old)
-			this.cancelledLately = this.cancelledLately.filter((c) => c.at >= old)
 	}
 
 	/** Cut from the workers, we ask one of them now and then whether that is over. */
@@ -383,8 +384,13 @@
 			this.setCatalog(entry.data as MachineType[])
 	}
 
+	/** What peers know of cancellations while we are cut off: from now on those jobs are over here, whatever is read. */
+	private applyCancelled(all: readonly Cancelled[]): void {
+		for (const uid of this.jobs.told(all)) for (const p of this.parts.values()) p.applyCancelled(uid)
+	}
+
 	private jobChanged(uid: string, record: JobRecord): void {
-		if (record.final === 'aborted') this.cancelledLately.push({ uid, part: record.part, at: this.now() })
+		if (record.final === 'aborted') this.cancellations.add(uid, this.jobs.final(uid)!.epoch)
 		// The part that it was in, too, if it moved.
 		for (const p of this.parts.values()) p.jobChanged(uid, record)
 		this.watcher?.jobChanged(uid)
--- a/packages/server/src/users.ts
+++ b/packages/server/src/users.ts
@@ -54,7 +54,15 @@
 	}
 
 	private run(effect: Effect.Effect<Reply>, reply: Tell): void {
-		Effect.runFork(effect.pipe(Effect.map(reply)))
+		Effect.runFork(effect.pipe(Effect.map((told) => reply(this.confirmed(told)))))
+	}
+
+	/** A cancellation is told only once all its tasks are sure to be gone in time, whoever owns them by now. */
+	private confirmed(told: Reply): Reply {
+		const { uid, status } = (told.body ?? {}) as Partial<JobAnswer>
+		if (told.status !== 200 || status !== 'aborted' || uid === undefined) return told
+		const leftMs = this.s.config.derived.confirmAfterMs - this.s.cancellations.knownMs(uid)
+		return leftMs > 0 ? later(leftMs / 1000) : told
 	}
 
 	private answer(uid: string, record: JobRecord): Reply {
@@ -113,7 +121,6 @@
 			Effect.flatMap((seen) => {
 				const record = this.record(uid)
 				if (seen.status !== 200 || record === null || record.final !== undefined) return Effect.succeed(seen)
-				if (!this.s.members.mayConfirmCancel(record.part)) return Effect.succeed(later())
 				const done = (seen.body as JobAnswer).done ?? 0
 				return this.cancel(uid, record, done).pipe(
 					Effect.flatMap((result) => {
--- a/packages/store/src/mirror.ts
+++ b/packages/store/src/mirror.ts
@@ -17,6 +17,8 @@
 	readonly entries = new Map<string, Entry>()
 	/** Everything up to this epoch has been applied. -1: nothing has been read yet. */
 	epoch = -1
+	/** when the latest read that was answered was sent, on the steady clock: what was durable then is known */
+	private asOf = Number.NEGATIVE_INFINITY
 	/** called when `epoch` has moved on */
 	onAdvance: () => void = () => {}
 	private waiting: ((ok: boolean) => void)[] = []
@@ -36,11 +38,16 @@
 	constructor(
 		private readonly changed: (key: string, entry: Entry | undefined, before: Entry | undefined) => void,
 		private readonly gapMs: number,
-		now: () => number,
+		private readonly now: () => number,
 	) {
 		this.pace = new Pace(gapMs, now)
 	}
 
+	/** How long ago everything durable was known here, at least; infinite before the first read. */
+	ageMs(now = this.now()): number {
+		return now - this.asOf
+	}
+
 	get(key: string): Entry | undefined {
 		return this.entries.get(key)
 	}
@@ -113,6 +120,7 @@
 
 	load(client: StoreClient): Effect.Effect<void, Failure | TooOld> {
 		return Effect.gen({ self: this }, function* () {
+			const sent = this.now()
 			const all: LogEntry[] = []
 			let from: string | null = null
 			let first = -1
@@ -133,23 +141,41 @@
 			this.onReload(first)
 			this.replace(first, all)
 			if (news !== null) this.apply(news.epoch, news.log)
+			this.asOf = Math.max(this.asOf, sent)
 		})
 	}
 
-	/** Follows the service for ever. The gap lets several changes share one answer. */
-	follow(client: StoreClient, blockMs: number): Effect.Effect<never> {
+	/** What changed since the last read, if anything did within the time. */
+	private catchUp(client: StoreClient, blockMs: number): Effect.Effect<void, Failure | TooOld> {
+		const sent = this.now()
+		return client.watch(this.epoch, blockMs).pipe(
+			Effect.map(({ epoch, log }) => {
+				this.apply(epoch, log)
+				this.asOf = Math.max(this.asOf, sent)
+			}),
+			Effect.catchTag('TooOld', () => this.load(client)),
+		)
+	}
+
+	/**
+	 * Follows the service for ever. The gap lets several changes share one answer. After one that failed nobody knows
+	 * what was missed, so the next read, `retryMs` later, does not wait for changes.
+	 */
+	follow(client: StoreClient, blockMs: number, retryMs: number): Effect.Effect<never> {
+		let failed = false
 		const step = Effect.suspend(() =>
-			this.epoch < 0
-				? this.load(client)
-				: client.watch(this.epoch, blockMs).pipe(
-						Effect.map(({ epoch, log }) => this.apply(epoch, log)),
-						Effect.catchTag('TooOld', () => this.load(client)),
-					),
+			this.epoch < 0 ? this.load(client) : this.catchUp(client, failed ? 0 : blockMs),
 		)
 		return step.pipe(
 			Effect.matchEffect({
-				onFailure: () => Effect.sleep(this.gapMs * 3),
-				onSuccess: () => Effect.sleep(this.gapMs),
+				onFailure: () => {
+					failed = true
+					return Effect.sleep(Math.max(retryMs, this.gapMs * 3))
+				},
+				onSuccess: () => {
+					failed = false
+					return Effect.sleep(this.gapMs)
+				},
 			}),
 			Effect.forever,
 		)
@@ -178,12 +204,8 @@
 	private read(client: StoreClient): Effect.Effect<void> {
 		const asked = this.waiting
 		this.waiting = []
-		const read: Effect.Effect<void, Failure | TooOld> =
-			this.epoch < 0
-				? this.load(client)
-				: client.watch(this.epoch, 0).pipe(Effect.map(({ epoch, log }) => this.apply(epoch, log)))
+		const read = this.epoch < 0 ? this.load(client) : this.catchUp(client, 0)
 		return read.pipe(
-			Effect.catchTag('TooOld', () => this.load(client)),
 			Effect.match({
 				// Too many requests is no outage: they share the next read.
 				onFailure: (e) => (e._tag === 'Refused' && e.status === 429 ? 'again' : 'failed'),
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -27,6 +27,7 @@
 		| 'drain'
 		| 'stateDown'
 		| 'stateRefuses'
+		| 'watchLost'
 		| 'stateSlow'
 		| 'cloudDown'
 		| 'cut'
@@ -143,6 +144,8 @@
 	private readonly silent = new Set<string>()
 	/** a zone that is cut off, with the controllers inside; what is inside reaches what is inside */
 	private island: { zone: string; who: readonly number[] } | null = null
+	/** controllers whose reads of the state get no answer, while all else does */
+	private readonly watchless = new Set<number>()
 	private stateSlowMs = 0
 	private pollFactor = 1
 	private readonly specs = new Map<string, JobSpec>()
@@ -280,6 +283,7 @@
 						resume(Effect.succeed({ status: r.status, body: decode(encode(r.body)), retryAfter: null }))
 					}
 					const sent = body === undefined ? undefined : decode(encode(body))
+					if (to === 'state:1' && method === 'GET' && this.watchless.has(i)) return
 					if (to === 'state:1')
 						this.deliver(
 							['state', i],
@@ -553,6 +557,11 @@
 			this.clock.after(forMs, () => {
 				for (const i of who) this.state.refuses.delete(i)
 			})
+		} else if (t.kind === 'watchLost') {
+			for (const i of who) this.watchless.add(i)
+			this.clock.after(forMs, () => {
+				for (const i of who) this.watchless.delete(i)
+			})
 		} else if (t.kind === 'stateSlow') {
 			this.stateSlowMs = 150
 			this.clock.after(forMs, () => {
--- a/tests/gap.test.ts
+++ b/tests/gap.test.ts
@@ -1,25 +1,179 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { type Gap, gapDay, World } from '@heathroad/testkit'
+import { Cancellations, JobBook, readCancelled, readQuestion, writeCancelled } from '@heathroad/cluster'
+import { checkSettings, derive } from '@heathroad/config'
+import { Mirror } from '@heathroad/store'
+import { type Gap, gapDay, plainSettings, sweep, World } from '@heathroad/testkit'
 
-const cases: { name: string; gap: Partial<Gap>; seeds: number[] }[] = [
+const five = { controllers: 5, report: { reportS: 4, leaseS: 26, cancelS: 46 } }
+const still = { atS: -0.6, kind: 'freeze', who: [0], forS: 50 } as const
+
+const cases: { name: string; gap: Partial<Gap>; seed: number }[] = [
+	{ name: 'as it was met', gap: {}, seed: 1 },
+	{ name: 'refused long before the outage', gap: { beforeS: 30, outageS: 60 }, seed: 2 },
+	{ name: 'an outage shorter than a cancellation may take', gap: { beforeS: 4, outageS: 20 }, seed: 3 },
+	{
+		name: 'two refused in turn, one of five left',
+		gap: { ...five, refused: [0, 3], apartS: 3, beforeS: 4 },
+		seed: 4,
+	},
+	{
+		name: 'the others end right after they confirmed, and are back at once',
+		gap: { more: [1, 2].map((i) => ({ atS: -0.5, kind: 'crash', who: [i], forS: 0.3 })) },
+		seed: 5,
+	},
+	{
+		name: 'peers cut as well',
+		gap: { more: [{ atS: -1, kind: 'cut', who: [1], from: 'peers', forS: 30 }] },
+		seed: 6,
+	},
+	// Its workers' leases run out meanwhile; it would start the tasks anew.
 	{
-		name: 'the old leader stands still for longer than a cancellation may take',
-		gap: { outageS: 110, beforeS: 3, more: [{ atS: -0.6, kind: 'freeze', who: [0], forS: 50 }] },
-		seeds: [1, 2],
+		name: 'the old leader stands still meanwhile',
+		gap: { outageS: 110, beforeS: 3, more: [still] },
+		seed: 1,
 	},
 	{
-		name: 'the old leader stands still for longer than a cancellation may take B',
-		gap: { outageS: 110, beforeS: 3, archives: false, more: [{ atS: -0.6, kind: 'freeze', who: [0], forS: 50 }] },
-		seeds: [1, 2],
+		name: 'the same, first form',
+		gap: { outageS: 110, beforeS: 3, archives: false, more: [still] },
+		seed: 1,
+	},
+	{
+		name: 'a leader whose grant is extended while it hears of no change',
+		gap: { outageS: 0, refused: [], more: [{ atS: -20, kind: 'watchLost', who: [0], forS: 90 }] },
+		seed: 7,
 	},
 ]
 
-for (const { name, gap, seeds } of cases)
-	for (const seed of seeds)
-		test(`the gap, ${name}, seed ${seed}`, async () => {
-			const world = new World(gapDay(seed, gap))
-			if (process.env.TELL) world.tell = (l) => console.log(l)
-			await world.play()
-			assert.deepEqual(world.rules.broken, [])
-		})
+for (const { name, gap, seed } of cases)
+	test(`the gap: ${name}`, async () => {
+		const world = new World(gapDay(seed, gap))
+		await world.play()
+		assert.deepEqual(world.rules.broken, [])
+		assert.deepEqual(world.rules.unfinished(), [], 'every job ends')
+		assert.ok(world.rules.started > 50, `only ${world.rules.started} tasks started`)
+	})
+
+test('a cancellation is confirmed at once, or later where its tasks might not be gone in time otherwise', async () => {
+	for (const [cancelS, leastMs, mostMs] of [
+		[30, 0, 500],
+		[10.5, 1800, 4000],
+	]) {
+		const gap = { refused: [], outageS: 0, report: { reportS: 1, leaseS: 10, cancelS }, archives: false }
+		const world = new World(gapDay(8, gap))
+		const durable = new Map<string, number>()
+		world.state.durable = (key, data) => {
+			const uid = /job\/(.*)$/.exec(key)?.[1]
+			if (uid !== undefined && (data as { final?: string }).final === 'aborted')
+				durable.set(uid, world.clock.nowMs)
+		}
+		const waited: number[] = []
+		const { told } = world.rules
+		world.rules.told = (uid, status, state, known) => {
+			if (status === 200 && state === 'aborted' && world.rules.state(uid) !== 'aborted')
+				waited.push(world.clock.nowMs - durable.get(uid)!)
+			told.call(world.rules, uid, status, state, known)
+		}
+		await world.play()
+		assert.deepEqual(world.rules.broken, [])
+		assert.ok(waited.length > 20)
+		const least = Math.min(...waited)
+		assert.ok(least >= leastMs && least < mostMs, `${cancelS} s: confirmed after ${least} ms at the earliest`)
+	}
+})
+
+test('how long after it is durable a cancellation is confirmed', () => {
+	const base = plainSettings('c-0', ['c-1', 'c-2'])
+	const cases: [leaseS: number, cancelS: number, mostMs: number][] = [
+		[10, 30, 0],
+		[15.25, 35.25, 0],
+		[26, 46, 0],
+		[10, 12, 350],
+		[10, 10.1, 2300],
+	]
+	for (const [lease_s, cancel_s, mostMs] of cases) {
+		const { deployment } = base
+		const workers = { ...deployment.workers, lease_s, cancel_s }
+		const d = derive(checkSettings({ ...base, deployment: { ...deployment, workers } }))
+		const { staleMs, promiseMs, grantMs, leaseMs, confirmAfterMs } = d
+		const at = `lease ${lease_s} s, cancellation ${cancel_s} s`
+		// Whatever an owner acts on ends by then unless it hears of the cancellation.
+		assert.ok(grantMs <= staleMs && promiseMs * 1.002 <= staleMs, at)
+		assert.ok(staleMs + leaseMs <= cancel_s * 1000 + confirmAfterMs, at)
+		assert.ok(confirmAfterMs <= mostMs, `${at}: ${confirmAfterMs} ms`)
+	}
+})
+
+test('cancellations by epoch, however long ago they were', () => {
+	let now = 0
+	const c = new Cancellations(4, () => now)
+	for (const epoch of [3, 5, 8]) c.add(`job-00000${epoch}`, epoch)
+	now = 1e9
+	assert.deepEqual(
+		c.since(4)?.map((x) => x.epoch),
+		[5, 8],
+	)
+	assert.equal(c.knownMs('job-000005'), 1e9)
+	c.incomplete(4)
+	assert.equal(c.since(3), null, 'something may have been left out')
+	for (const epoch of [9, 11, 12, 13]) c.add(`job-0000${epoch}`, epoch)
+	assert.equal(c.since(4), null, 'too many to be kept')
+	const told = c.since(9)
+	assert.deepEqual(
+		told?.map((x) => x.epoch),
+		[11, 12, 13],
+	)
+	assert.equal(c.knownMs('job-000003'), Number.POSITIVE_INFINITY)
+	assert.deepEqual(readCancelled(writeCancelled(told!)), told)
+	assert.equal(readCancelled(['job-000001']), null, 'as an older version tells them')
+	assert.equal(readQuestion({ name: 'c-0', owned: { 0: 9 } }), null, 'as an older version asks')
+})
+
+test('a cancellation that a peer told holds against every read that is older', () => {
+	const uid = 'job-000001'
+	const open = { part: 0, spec: sweep(uid), at: 1 }
+	const cases: { name: string; before?: [string, unknown]; after: [string, unknown, number][] }[] = [
+		{ name: 'its record is known', before: ['intake/a', { jobs: [open] }], after: [] },
+		{ name: 'its record comes later', after: [['intake/a', { jobs: [open] }, 11]] },
+		{
+			name: 'progress comes later',
+			before: ['intake/a', { jobs: [open] }],
+			after: [[`job/${uid}`, open, 12]],
+		},
+		{
+			name: 'it moved',
+			before: ['intake/a', { jobs: [open] }],
+			after: [[`job/${uid}`, { ...open, part: 1 }, 12]],
+		},
+	]
+	for (const c of cases) {
+		const opened: string[] = []
+		const mirror: Mirror = new Mirror(
+			(key, entry) => {
+				if (key.startsWith('intake/')) for (const r of book.arrived(entry?.data)) opened.push(r.spec!.uid)
+				else if (key.startsWith('job/') && book.changed(uid, entry?.data as typeof open)) opened.push(uid)
+			},
+			1,
+			() => 0,
+		)
+		const book = new JobBook(mirror)
+		mirror.onAdvance = () => book.settle()
+		const apply = (epoch: number, log: [string, unknown][]) =>
+			mirror.apply(
+				epoch,
+				log.map(([key, data]) => ({ key: `heathroad/${key}`, data, stamp: epoch })),
+			)
+		apply(10, c.before === undefined ? [] : [c.before])
+		opened.length = 0
+		assert.deepEqual(book.told([{ uid, epoch: 20 }]), [uid], c.name)
+		assert.deepEqual(book.told([{ uid, epoch: 20 }]), [], 'once')
+		for (const [key, data, epoch] of c.after) apply(epoch, [[key, data]])
+		assert.deepEqual(opened, [], c.name)
+		assert.equal(book.open.has(uid), false, c.name)
+		assert.equal(book.get(uid)?.record.final, 'aborted', c.name)
+		assert.equal(book.final(uid), undefined, `${c.name}: streams wait for the records`)
+		apply(20, [[`job/${uid}`, { part: 0, final: 'aborted' }]])
+		assert.equal(book.get(uid)?.record.final, 'aborted', c.name)
+		assert.deepEqual(book.told([{ uid, epoch: 20 }]), [], 'known by now')
+	}
+})
--- a/tests/membership.test.ts
+++ b/tests/membership.test.ts
@@ -17,6 +17,7 @@
 		grant: () => Effect.succeed(7),
 		extend: () => Effect.void,
 		revoke: () => Effect.void,
+		watch: (epoch: number) => Effect.succeed({ epoch, log: [] }),
 		txn: (conditions: readonly Condition[]) => {
 			takes.push(conditions)
 			return Effect.never
@@ -61,6 +62,7 @@
 	return {
 		m,
 		mirror,
+		client,
 		takes,
 		pass,
 		set: (key: string, data: unknown, stamp: number) => mirror.wrote(key, data, stamp),
@@ -102,7 +104,7 @@
 		w.set('part/0', owner('c-0'), 9)
 		w.pass(20_000)
 		c.play(w)
-		const answer = w.m.answer('/peer/promise', { name: 'c-0', owned: { 0: c.token ?? 9 } })
+		const answer = w.m.answer('/peer/promise', { name: 'c-0', owned: { 0: c.token ?? 9 }, epoch: 9 })
 		assert.equal((answer as { promised: boolean }).promised, c.want, c.name)
 	}
 })
@@ -112,6 +114,7 @@
 	w.set('last/0', owner('c-2'), 3)
 	w.mirror.epoch = 3
 	w.pass(20_000)
+	await Effect.runPromise(w.mirror.fresh(w.client))
 	// With a grant it takes what has been absent for long; then it sleeps until its next extend.
 	const keeping = Effect.runFork(w.m.keepGrant())
 	await new Promise((done) => setImmediate(done))
@@ -125,3 +128,30 @@
 		'the late take would be applied under a promise',
 	)
 })
+
+test('a grant that is extended is of no use without the records', async () => {
+	const w = member()
+	w.mirror.epoch = 3
+	const keeping = Effect.runFork(w.m.keepGrant())
+	await new Promise((done) => setImmediate(done))
+	keeping.interruptUnsafe()
+	const { staleMs, grantMs } = derive(settings)
+	const cases: [name: string, passMs: number, read: boolean, right: string][] = [
+		['nothing was ever read', 0, false, 'none'],
+		['the records were read', 0, true, 'grant'],
+		['lately', grantMs * 0.9, false, 'grant'],
+	]
+	for (const [name, passMs, read, right] of cases) {
+		w.pass(passMs)
+		if (read) await Effect.runPromise(w.mirror.fresh(w.client))
+		assert.equal(w.m.right(), right, name)
+	}
+	// As if the extend went through all the time: nothing else than the records' age ends the right.
+	Object.assign(w.m, { rightUntil: Number.POSITIVE_INFINITY })
+	w.pass(staleMs - grantMs * 0.9 - 1)
+	assert.equal(w.m.right(), 'grant', 'just before')
+	w.pass(2)
+	assert.equal(w.m.right(), 'none', 'too long ago')
+	await Effect.runPromise(w.mirror.fresh(w.client))
+	assert.equal(w.m.right(), 'grant', 'read again')
+})
