--- a/scripts/hunt-days.mjs
+++ b/scripts/hunt-days.mjs
@@ -1,4 +1,4 @@
-// Plays days of random troubles in virtual time: npm run hunt:days [-- --from N --to N --lanes N --count EVENT --kind any|plugins|gap]
+// Plays days of random troubles in virtual time: npm run hunt:days [-- --from N --to N --lanes N --count EVENT --kind any|plugins|gap|meetings]
 // Exits 1 if a rule was broken or a job never ended, and prints the seed, which gives the same day again.
 import { availableParallelism } from 'node:os'
 import { parseArgs } from 'node:util'
