--- a/packages/testkit/src/hunt.ts
+++ b/packages/testkit/src/hunt.ts
@@ -222,7 +222,7 @@
 		await world.play()
 	}
 	return {
-		broken: world.rules.broken,
+		broken: [...world.rules.broken, ...world.rules.failures()],
 		unfinished: world.rules.unfinished(),
 		started: world.rules.started,
 		said,
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -1,14 +1,30 @@
 import type { JobSpec } from '@heathroad/wire'
 
+/** Questions about an accepted job that stay unanswered for so long, once all troubles are over: it is forgotten. */
+const SILENT_MS = 75_000
+/** A class's largest jobs have to begin within that time (kit: meetings). */
+const BEGIN_MS = 240_000
+
+interface Watched {
+	spec: JobSpec
+	cancelAsked: boolean
+	told: string | null
+	toldAt: number
+	submittedAt: number
+	/** when its first task took a place */
+	begunAt: number | null
+	/** since when no question about it was answered; null: the last one was */
+	silentSince: number | null
+}
+
 /** Watches the world, not the service, and writes down every broken rule of the protocol. */
 export class Rules {
 	readonly broken: string[] = []
 	/** task -> machines it is on */
 	private readonly on = new Map<string, Set<string>>()
-	private readonly jobs = new Map<
-		string,
-		{ spec: JobSpec; cancelAsked: boolean; told: string | null; toldAt: number }
-	>()
+	private readonly jobs = new Map<string, Watched>()
+	/** from when on all troubles are over */
+	calmFromMs = Number.POSITIVE_INFINITY
 	private readonly done = new Map<string, Set<number>>()
 	started = 0
 
@@ -23,7 +39,49 @@
 	}
 
 	submitted(spec: JobSpec): void {
-		if (!this.jobs.has(spec.uid)) this.jobs.set(spec.uid, { spec, cancelAsked: false, told: null, toldAt: 0 })
+		if (this.jobs.has(spec.uid)) return
+		const now = { cancelAsked: false, told: null, toldAt: 0, submittedAt: this.now() }
+		this.jobs.set(spec.uid, { spec, ...now, begunAt: null, silentSince: null })
+	}
+
+	/** A user asked about a job and got an answer that says what becomes of it, or none. */
+	asked(uid: string, answered: boolean): void {
+		const job = this.jobs.get(uid)
+		if (job === undefined || job.told === null) return
+		if (answered) job.silentSince = null
+		else {
+			job.silentSince ??= this.now()
+			const since = Math.max(job.silentSince, this.calmFromMs)
+			if (this.now() - since < SILENT_MS) return
+			this.say('forgotten', `${uid} has been asked about in vain since ${Math.round(since)} ms`)
+			job.silentSince = Number.POSITIVE_INFINITY
+		}
+	}
+
+	/** Why the day fails all the same: less than half of something served, or large jobs that begin too late. */
+	failures(): string[] {
+		const out: string[] = []
+		const wanted = [...this.jobs.values()].filter((j) => !j.cancelAsked && j.told !== null)
+		const groups = new Map<string, Watched[]>()
+		const group = (name: string, job: Watched) => groups.set(name, [...(groups.get(name) ?? []), job])
+		for (const job of wanted) {
+			group(`team ${job.spec.team}`, job)
+			group(`class ${job.spec.jobClass}`, job)
+		}
+		const late = (j: Watched) => (j.begunAt ?? Number.POSITIVE_INFINITY) - j.submittedAt > BEGIN_MS
+		for (const [name, jobs] of [...groups]) {
+			if (!name.startsWith('class ')) continue
+			const sizes = jobs.map((j) => j.spec.tasks).sort((a, b) => b - a)
+			const large = jobs.filter((j) => j.spec.tasks >= sizes[Math.floor((sizes.length - 1) / 10)])
+			groups.set(`largest of ${name}`, large)
+			const waited = large.filter(late)
+			if (waited.length > 0) out.push(`${waited.length} of the largest of ${name} begin late`)
+		}
+		for (const [name, jobs] of groups) {
+			const served = jobs.filter((j) => j.told === 'done').length
+			if (served * 2 < jobs.length) out.push(`${served} of ${jobs.length} of ${name} served`)
+		}
+		return out
 	}
 
 	/** Its user was told that it can never run. */
@@ -48,6 +106,7 @@
 		const [uid] = task.split('/')
 		const job = this.jobs.get(uid)
 		if (job === undefined) return this.say('invented', `${task} was never submitted`)
+		job.begunAt ??= this.now()
 		const { spec } = job
 		const wrong =
 			(spec.types !== null && !spec.types.includes(type)) ||
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -523,6 +523,7 @@
 						isMap(r.body) ? ((r.body.status as string) ?? null) : null,
 						known,
 					)
+				this.rules.asked(spec.uid, r?.status === 200 || r?.status === 201 || r?.status === 404)
 				heard(r)
 			}
 			if (i === null) return void this.clock.after(1000, () => finish(null))
@@ -655,6 +656,9 @@
 				this.clock.after(this.clock.between(0, 300), () => this.boot(i))
 			if (this.day.balanced) this.probe()
 			for (const job of this.day.jobs) this.user(job)
+			const ends = this.day.troubles.map((t) => t.atS + (t.forS ?? 5))
+			if ((this.day.loss ?? 0) > 0) ends.push(this.day.lossUntilS ?? Number.POSITIVE_INFINITY)
+			this.rules.calmFromMs = Math.max(0, ...ends) * 1000
 			for (const t of this.day.troubles) this.clock.after(t.atS * 1000, () => this.trouble(t))
 			// Nobody submits this one: it must stay unknown.
 			const ghost = () => {
--- /dev/null
+++ b/tests/rules.test.ts
@@ -0,0 +1,103 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { Rules, sweep } from '@heathroad/testkit'
+
+/** A checker with a clock of its own, one accepted job of two tasks, and troubles that end after 100 s. */
+const watch = () => {
+	let now = 0
+	const rules = new Rules(() => now, 30_000, new Map([['core', 4]]))
+	rules.calmFromMs = 100_000
+	rules.submitted(sweep('job-000001', { tasks: 2, zone: 'a', cpus: 2 }))
+	rules.told('job-000001', 201, 'pending', null)
+	return { rules, at: (s: number) => (now = s * 1000) }
+}
+const UID = 'job-000001'
+type Watch = ReturnType<typeof watch>
+const place = ({ rules }: Watch, task = `${UID}/0`, machine = 'i-1', zone = 'a') =>
+	rules.placed(task, machine, 'box', zone, false)
+const cancel = (w: Watch) => {
+	w.rules.cancelAsked(UID)
+	w.rules.told(UID, 200, 'aborted', 'pending')
+}
+const silent = (w: Watch, fromS: number, toS: number) => {
+	for (let s = fromS; s <= toS; s += 3) {
+		w.at(s)
+		w.rules.asked(UID, false)
+	}
+}
+
+test("the rules' checker finds every fault that is planted, and none where there is none", () => {
+	const cases: [name: string, play: (w: Watch) => void, rule: string | null][] = [
+		['a task on one machine', (w) => place(w), null],
+		['on two', (w) => [place(w), place(w, `${UID}/0`, 'i-2')], 'ran_twice'],
+		['in another zone', (w) => place(w, `${UID}/0`, 'i-1', 'b'), 'wrong_place'],
+		['over the limit', (w) => [0, 1, 2].map((n) => place(w, `${UID}/${n}`)), 'quota'],
+		[
+			'gone in time',
+			(w) => [place(w), cancel(w), w.rules.gone(`${UID}/0`, 'i-1'), w.at(31), w.rules.check()],
+			null,
+		],
+		['there too long', (w) => [place(w), cancel(w), w.at(31), w.rules.check()], 'ran_cancelled'],
+		['started too late', (w) => [cancel(w), w.at(31), place(w)], 'ran_cancelled'],
+		['404', (w) => w.rules.told(UID, 404, null, 'pending'), 'forgotten'],
+		['refused later', (w) => w.rules.refused(UID), 'forgotten'],
+		['no answer while there are troubles', (w) => silent(w, 1, 99), null],
+		['no answer for a minute afterwards', (w) => silent(w, 90, 172), null],
+		[
+			'an answer in between',
+			(w) => [silent(w, 101, 170), w.rules.asked(UID, true), silent(w, 173, 240)],
+			null,
+		],
+		['no answer for 75 s afterwards', (w) => silent(w, 90, 180), 'forgotten'],
+		['nobody submitted it', (w) => w.rules.told('job-000009', 200, 'pending', null), 'invented'],
+		[
+			'done too early',
+			(w) => [w.rules.completed(`${UID}/0`), w.rules.told(UID, 200, 'done', 'pending')],
+			'not_done',
+		],
+		['cancelled, nobody asked', (w) => w.rules.told(UID, 200, 'aborted', 'pending'), 'went_back'],
+		['an older answer', (w) => [cancel(w), w.rules.told(UID, 200, 'running', 'aborted')], 'went_back'],
+	]
+	for (const [name, play, rule] of cases) {
+		const w = watch()
+		play(w)
+		assert.deepEqual(
+			[...new Set(w.rules.broken.map((b) => b.split(' ')[0]))],
+			rule === null ? [] : [rule],
+			name,
+		)
+	}
+})
+
+test('a day on which less than half is served, or the largest begin late, has failed', () => {
+	const cases: [name: string, served: number, largestBeginsS: number, failed: RegExp[]][] = [
+		['all served', 20, 10, []],
+		['half', 10, 10, []],
+		['less', 9, 10, [/9 of 20 of team core/, /9 of 20 of class any/]],
+		['the largest late', 20, 241, [/largest of class any begin late/]],
+		['the largest never', 18, Number.POSITIVE_INFINITY, [/begin late/, /0 of 2 of largest/]],
+	]
+	for (const [name, served, largestBeginsS, failed] of cases) {
+		let now = 0
+		const rules = new Rules(() => now, 30_000, new Map())
+		for (let i = 0; i < 20; i++) {
+			const uid = `job-${String(i).padStart(6, '0')}`
+			now = 0
+			rules.submitted(sweep(uid, { tasks: i >= 18 ? 9 : 1 }))
+			rules.told(uid, 201, 'pending', null)
+			now = (i >= 18 ? largestBeginsS : 5) * 1000
+			if (!Number.isFinite(now)) continue
+			rules.placed(`${uid}/0`, 'i-1', 'box', 'a', false)
+			for (let n = 0; n < 9; n++) rules.completed(`${uid}/${n}`)
+			// The largest are served whenever that is not what is tried.
+			if (i >= 18 || i < served - 2) rules.told(uid, 200, 'done', 'pending')
+		}
+		const found = rules.failures()
+		assert.equal(found.length, failed.length, `${name}: ${found}`)
+		for (const what of failed)
+			assert.ok(
+				found.some((f) => what.test(f)),
+				`${name}: ${found}`,
+			)
+	}
+})
