--- a/tests/gap.test.ts
+++ b/tests/gap.test.ts
@@ -43,6 +43,19 @@
 		gap: { outageS: 0, refused: [], more: [{ atS: -20, kind: 'watchLost', who: [0], forS: 90 }] },
 		seed: 7,
 	},
+	{
+		name: 'only a leader without state and peers is reached by the workers, and no machine can be returned',
+		gap: {
+			outageS: 0,
+			refused: [],
+			more: [
+				{ atS: -2, kind: 'cut', who: [0], from: ['state', 'peers'], forS: 80 },
+				{ atS: -2, kind: 'cut', who: [1, 2], from: 'workers', forS: 80 },
+				{ atS: -2, kind: 'cloudDown', forS: 80 },
+			],
+		},
+		seed: 9,
+	},
 ]
 
 for (const { name, gap, seed } of cases)
