Plan nothing for machines that are kept although silent; test reports, starts and outcomes of one part

Change: a machine that missed three reports while we listened takes nothing new. Tests of one part alone: what accounts for a machine after a takeover, how long a start on its way holds its task, when an outcome is forgotten.

--- a/packages/controller/src/silence.ts
+++ b/packages/controller/src/silence.ts
@@ -10,15 +10,13 @@
 /** What the silence of a part's machines says, and what it does not. */
 export class Silence {
 	private readonly takenAt: number
-	/** since when we have listened without a break */
-	private listeningSince: number
 	/** the last moment at which many were silent together */
 	private manyAt = Number.NEGATIVE_INFINITY
 	private lastLook: number
 
 	constructor(private readonly s: PartState) {
 		this.takenAt = s.ports.now()
-		this.listeningSince = this.takenAt
+		this.s.listeningSince = this.takenAt
 		this.lastLook = this.takenAt
 	}
 
@@ -26,7 +24,7 @@
 	look(now: number, right: 'grant' | 'promise' | 'none'): void {
 		// While the process stood still it heard nobody: that is no silence of the machines'.
 		if (right === 'none' || now - this.lastLook > this.s.config.derived.grantMs * 0.2)
-			this.listeningSince = now
+			this.s.listeningSince = now
 		this.lastLook = now
 		if (isMany(this.missing(now), this.s.machines.size)) this.manyAt = now
 	}
@@ -39,7 +37,7 @@
 	 */
 	over(m: Machine, now: number): boolean {
 		const { reportMs, leaseMs } = this.s.config.derived
-		const heard = Math.max(m.answeredAt, this.listeningSince)
+		const heard = Math.max(m.answeredAt, this.s.listeningSince)
 		if (now - heard >= leaseMs * MANY_SILENT_LEASES) return true
 		return now - Math.max(heard, this.manyAt) >= Math.max(reportMs * 3, leaseMs * 0.5)
 	}
@@ -73,7 +71,7 @@
 		for (const m of this.s.machines.values()) {
 			if (!m.used) continue
 			used++
-			if (or(m) || Math.max(m.answeredAt, this.listeningSince) < before) away++
+			if (or(m) || Math.max(m.answeredAt, this.s.listeningSince) < before) away++
 		}
 		return away >= 2 && away * 3 >= used * 2 ? away : 0
 	}
--- a/packages/controller/src/state.ts
+++ b/packages/controller/src/state.ts
@@ -12,6 +12,8 @@
 	readonly machines = new Map<string, Machine>()
 	/** every machine that may hold tasks of a former owner's is accounted for */
 	settled = false
+	/** since when we have listened to the machines without a break, steady time in ms */
+	listeningSince = Number.NEGATIVE_INFINITY
 	stopped = false
 	queueDirty = true
 	private queue: JobRun[] = []
@@ -126,8 +128,14 @@
 		m.free = free
 	}
 
+	/**
+	 * A machine that is kept although it is silent takes nothing new (incident 22): what is planned for it is given up at
+	 * every look, and meanwhile neither another machine has it nor is one rented for it.
+	 */
 	usable(m: Machine, now: number): boolean {
-		return m.up && m.confirmed && m.used && m.leaving === null && !m.releasing && m.blockedUntil <= now
+		if (!m.up || !m.confirmed || !m.used || m.leaving !== null || m.releasing || m.blockedUntil > now)
+			return false
+		return now - Math.max(m.answeredAt, this.listeningSince) <= this.config.derived.reportMs * 3
 	}
 
 	hasImage(m: Machine, spec: JobSpec): void {
--- /dev/null
+++ b/tests/part.test.ts
@@ -0,0 +1,198 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { JobRecord } from '@heathroad/cluster'
+import { DEFAULTS, derive } from '@heathroad/config'
+import { CapacityBook, NO_CHECKS, Part, type Ports } from '@heathroad/controller'
+import type { Write } from '@heathroad/store'
+import { BOX, plainSettings, sweep } from '@heathroad/testkit'
+import type { Order, Report, ReportedTask } from '@heathroad/wire'
+
+/** The token under which the part was taken. */
+const TOKEN = 3
+const settings = plainSettings('a')
+const { reportMs, leaseMs } = derive(settings)
+
+/** One part alone with machines that a former owner may have used; writes and commands wait until they are answered. */
+const scene = (machines: readonly string[]) => {
+	let nowMs = 0
+	const jobs = new Map<string, { record: JobRecord; stamp: number }>()
+	const writes: Write[] = []
+	const commands: { addr: string; answer: (status: number, report: Report | null) => void }[] = []
+	const fleet = (ids: readonly string[]) => ({
+		part: 0,
+		type: 'box',
+		zone: 'a',
+		spot: true,
+		asked: 0,
+		hosts: Object.fromEntries(ids.map((id) => [id, `${id}:1`])),
+	})
+	const ports: Ports = {
+		now: () => nowMs,
+		wallClock: () => 1_700_000_000_000 + nowMs,
+		right: () => 'grant',
+		entry: () => undefined,
+		under: (prefix) => (prefix === 'fleet/' ? [['fleet/r', { data: fleet(machines), stamp: 2 }]] : []),
+		job: (uid) => jobs.get(uid),
+		suspected: () => false,
+		usedElsewhere: () => ({ cpus: 0, gpus: 0 }),
+		leaver: () => () => null,
+		checks: () => NO_CHECKS,
+		heldBack: () => false,
+		marked: () => false,
+		openJobs: () => jobs.keys(),
+		wrote: () => {},
+		write: (w) => {
+			const write = { ...w, until: 0 }
+			writes.push(write)
+			return write
+		},
+		raise: () => {},
+		refresh: (done) => done(),
+		fresh: (done) => done(true),
+		epoch: () => 5,
+		command: (addr, _token, _tenure, _orders, answer) => commands.push({ addr, answer }),
+		rent: () => {},
+		release: () => {},
+		cloudCalls: () => 0,
+		catalog: () => [BOX],
+		capacity: new CapacityBook(),
+		log: () => {},
+	}
+	const part = new Part(0, TOKEN, { settings, ...DEFAULTS, derived: derive(settings) }, ports)
+	const counters = new Map<string, number>()
+	/** a report as its machine makes it now */
+	const made = (machine: string, tasks: ReportedTask[], token = TOKEN): Report => {
+		counters.set(machine, (counters.get(machine) ?? 0) + 1)
+		return {
+			machine,
+			addr: `${machine}:1`,
+			type: 'box',
+			zone: 'a',
+			spot: true,
+			tenure: 1,
+			counter: counters.get(machine)!,
+			token,
+			noticeS: null,
+			tasks,
+		}
+	}
+	const send = (report: Report): Order[] => {
+		let orders: Order[] = []
+		part.report(report, (answer) => {
+			orders = answer?.orders ?? []
+		})
+		return orders
+	}
+	return {
+		part,
+		commands,
+		writes,
+		made,
+		send,
+		report: (machine: string, tasks: ReportedTask[] = [], token = TOKEN) => send(made(machine, tasks, token)),
+		accept: (uid: string, tasks: number) => {
+			const record = { part: 0, spec: sweep(uid, { tasks }), at: 1_700_000_000_000 }
+			jobs.set(uid, { record, stamp: 0 })
+			part.jobChanged(uid, record)
+		},
+		comes: (id: string) => part.fleetChanged('r', fleet([...machines, id]), fleet(machines)),
+		pass: (ms: number) => {
+			for (const until = nowMs + ms; nowMs < until; ) {
+				nowMs += 250
+				part.tick()
+			}
+		},
+	}
+}
+
+const task = (
+	name: string,
+	state: ReportedTask['state'],
+	cause: ReportedTask['cause'] = null,
+): ReportedTask => {
+	const [uid, n] = name.split('/')
+	return { name, uid, task: Number(n), attempt: 7, state, cause }
+}
+const starts = (orders: readonly Order[]) => orders.filter((o) => o.verb === 'start').map((o) => o.name)
+const forgets = (orders: readonly Order[]) => orders.filter((o) => o.verb === 'forget').map((o) => o.name)
+
+test('a report from before the takeover does not account for its machine', () => {
+	const s = scene(['i-1'])
+	s.accept('job-000001', 1)
+	// Held up since before the former owner's start was answered: it shows nothing, and proves nothing.
+	assert.deepEqual(starts(s.report('i-1', [], TOKEN - 1)), [])
+	assert.equal(s.part.rebuilt, false)
+	s.pass(reportMs)
+	assert.deepEqual(starts(s.report('i-1', [], TOKEN - 1)), [], 'nor does another one')
+	s.report('i-1', [task('job-000001/0', 'running')])
+	assert.equal(s.part.rebuilt, true)
+	assert.deepEqual(starts(s.report('i-1', [task('job-000001/0', 'running')])), [], 'it runs already')
+})
+
+test('a start that is on its way holds its task until the next report or the end of the lease', () => {
+	const cases: [name: string, then: (s: ReturnType<typeof scene>) => unknown, free: boolean][] = [
+		['nothing is heard', () => {}, false],
+		['it stays silent for some reports', (s) => s.pass(reportMs * 3.5), false],
+		[
+			'the answer to a command overtakes the response with the start',
+			(s) => s.commands.at(-1)!.answer(200, s.made('i-1', [task('job-000009/0', 'ended', 'halted')])),
+			false,
+		],
+		['an older report comes again', (s) => s.send({ ...s.made('i-1', []), counter: 1 }), false],
+		['the next report does not have it', (s) => s.report('i-1'), true],
+		['its lease is over', (s) => s.pass(leaseMs + 500), true],
+	]
+	for (const [name, then, free] of cases) {
+		const s = scene(['i-1'])
+		s.accept('job-000009', 1)
+		s.report('i-1', [task('job-000009/0', 'running')])
+		// A command is under way, so that its answer may overtake another response.
+		s.part.applyCancelled('job-000009')
+		assert.ok(s.commands.length > 0)
+		s.accept('job-000001', 1)
+		assert.deepEqual(starts(s.report('i-1', [task('job-000009/0', 'running')])), ['job-000001/0'], name)
+		// The machine that does not have it may be told again by the same response.
+		const again = then(s)
+		const told = Array.isArray(again) ? starts(again) : []
+		s.comes('i-2')
+		told.push(...starts(s.report('i-2')))
+		s.pass(500)
+		told.push(...starts(s.report('i-2')))
+		// i-2 reports as if the response had been lost, and is told again.
+		assert.deepEqual([...new Set(told)], free ? ['job-000001/0'] : [], name)
+	}
+})
+
+test('an outcome is forgotten by its machine only once it is durable', () => {
+	const s = scene(['i-1'])
+	s.accept('job-000001', 2)
+	const done = [task('job-000001/0', 'ended', 'done'), task('job-000001/1', 'running')]
+	s.report('i-1', done)
+	s.pass(reportMs * 4)
+	assert.deepEqual(forgets(s.report('i-1', done)), [], 'its write waits')
+	assert.ok(s.writes.length > 0)
+	for (const w of s.writes.splice(0)) {
+		assert.notEqual(w.build(), null)
+		w.done({ kind: 'unknown' })
+	}
+	s.pass(reportMs * 4)
+	assert.deepEqual(forgets(s.report('i-1', done)), [], 'whether it was carried out is not known')
+	for (const w of s.writes.splice(0)) if (w.build() !== null) w.done({ kind: 'ok', epoch: 9 })
+	s.pass(reportMs)
+	assert.deepEqual(forgets(s.report('i-1', done)), ['job-000001/0'])
+})
+
+test('a machine that is kept although it is silent takes nothing new (incident 22)', () => {
+	const s = scene(['i-1', 'i-2'])
+	for (const id of ['i-1', 'i-2']) s.report(id)
+	s.pass(reportMs * 4)
+	s.report('i-2')
+	// Half of the machines silent are many: they are kept for some leases.
+	s.accept('job-000001', 12)
+	const first = starts(s.report('i-2'))
+	assert.equal(first.length, 8, 'as many as it has room for')
+	s.pass(500)
+	const waiting = s.part.jobs.get('job-000001')
+	assert.equal(waiting?.ready.size, 4, 'the others wait, and may be rented for')
+	assert.equal(starts(s.report('i-1')).length, 4, 'until it is heard again')
+})
