--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -455,5 +455,12 @@
 	} catch (e) {
 		throw new ConfigError(`${settingsPath}: ${(e as Error).message}`)
 	}
-	return { settings, ...readIni(iniPath), derived: derive(settings) }
+	const options = readIni(iniPath)
+	const derived = derive(settings)
+	// Users over HTTP can be told to come back; a stream tells final states in their order, or not at all.
+	if (options.grpc !== null && derived.confirmAfterMs > 0) {
+		const leastS = settings.deployment.workers.cancel_s + derived.confirmAfterMs / 1000
+		throw new ConfigError(`${iniPath}: [grpc]: needs a cancel_s of ${leastS.toFixed(1)} at least`)
+	}
+	return { settings, ...options, derived }
 }
--- a/tests/config.test.ts
+++ b/tests/config.test.ts
@@ -86,6 +86,15 @@
 	)
 	const on = loadConfig(path, file('grpc.ini', '[grpc]\nlisten = 127.0.0.1:9090\nstreams = 7\n'))
 	assert.deepEqual([on.grpc?.listen, on.grpc?.streams, on.grpc?.uids], ['127.0.0.1:9090', 7, 1000])
+	// Hardly longer than a lease, cancellations are confirmed late, which streams cannot do.
+	const tight = good()
+	tight.deployment.workers.cancel_s = tight.deployment.workers.lease_s + 1
+	const tightPath = file('tight.json', JSON.stringify(tight))
+	assert.ok(loadConfig(tightPath).derived.confirmAfterMs > 0)
+	assert.throws(
+		() => loadConfig(tightPath, join(dir, 'grpc.ini')),
+		/\[grpc\]: needs a cancel_s of [0-9.]+ at least/,
+	)
 	const cases: { text: string; says: RegExp }[] = [
 		{ text: '[machines]\nidle_report = 9', says: /machines\.idle_report: no such key/ },
 		{ text: '[machine]\nidle_reports = 9', says: /machine: no such section/ },
--- a/tests/part.test.ts
+++ b/tests/part.test.ts
@@ -5,7 +5,7 @@
 import { CapacityBook, NO_CHECKS, Part, type Ports } from '@heathroad/controller'
 import type { Write } from '@heathroad/store'
 import { BOX, plainSettings, sweep } from '@heathroad/testkit'
-import type { Order, Report, ReportedTask } from '@heathroad/wire'
+import type { JobSpec, Order, Report, ReportedTask } from '@heathroad/wire'
 
 /** The token under which the part was taken. */
 const TOKEN = 3
@@ -17,7 +17,11 @@
 	let nowMs = 0
 	const jobs = new Map<string, { record: JobRecord; stamp: number }>()
 	const writes: Write[] = []
-	const commands: { addr: string; answer: (status: number, report: Report | null) => void }[] = []
+	const commands: {
+		addr: string
+		orders: Order[]
+		answer: (status: number, report: Report | null) => void
+	}[] = []
 	const fleet = (ids: readonly string[]) => ({
 		part: 0,
 		type: 'box',
@@ -50,7 +54,7 @@
 		refresh: (done) => done(),
 		fresh: (done) => done(true),
 		epoch: () => 5,
-		command: (addr, _token, _tenure, _orders, answer) => commands.push({ addr, answer }),
+		command: (addr, _token, _tenure, orders, answer) => commands.push({ addr, orders, answer }),
 		rent: () => {},
 		release: () => {},
 		cloudCalls: () => 0,
@@ -90,8 +94,8 @@
 		made,
 		send,
 		report: (machine: string, tasks: ReportedTask[] = [], token = TOKEN) => send(made(machine, tasks, token)),
-		accept: (uid: string, tasks: number) => {
-			const record = { part: 0, spec: sweep(uid, { tasks }), at: 1_700_000_000_000 }
+		accept: (uid: string, tasks: number, more: Partial<JobSpec> = {}) => {
+			const record = { part: 0, spec: sweep(uid, { tasks, ...more }), at: 1_700_000_000_000 }
 			jobs.set(uid, { record, stamp: 0 })
 			part.jobChanged(uid, record)
 		},
@@ -196,3 +200,16 @@
 	assert.equal(waiting?.ready.size, 4, 'the others wait, and may be rented for')
 	assert.equal(starts(s.report('i-1')).length, 4, 'until it is heard again')
 })
+
+test('cancelled tasks get no time to save, those that are saving already included', () => {
+	const s = scene(['i-1'])
+	s.accept('job-000001', 2, { checkpointS: 30, saveS: 4 })
+	const tasks = [task('job-000001/0', 'running'), task('job-000001/1', 'flushing')]
+	s.report('i-1', tasks)
+	s.part.applyCancelled('job-000001')
+	const kills = (orders: readonly Order[] = []) =>
+		orders.flatMap((o) => (o.verb === 'kill' ? [`${o.name} ${o.graceS}`] : []))
+	const both = ['job-000001/0 0', 'job-000001/1 0']
+	assert.deepEqual(kills(s.commands.at(-1)?.orders), both, 'told directly')
+	assert.deepEqual(kills(s.report('i-1', tasks)), both, 'and with the next report, in case that was lost')
+})
