--- a/tests/gate.test.ts
+++ b/tests/gate.test.ts
@@ -2,8 +2,8 @@
 import { test } from 'node:test'
 import { type JobRecord, release, releasedKey } from '@heathroad/cluster'
 import { DEFAULTS, derive } from '@heathroad/config'
-import { CapacityBook, type Checks, Part, type Ports, type Verdict } from '@heathroad/controller'
-import { BOX, plainSettings, sweep } from '@heathroad/testkit'
+import { type Checks, Part, type Ports, type Verdict } from '@heathroad/controller'
+import { idlePorts, plainSettings, sweep } from '@heathroad/testkit'
 
 interface Scene {
 	part: Part
@@ -33,16 +33,11 @@
 			done(answer(spec.uid, seen.asked))
 		},
 	}
-	const plain: Ports = {
+	const plain = idlePorts({
 		now: () => s.nowMs,
 		wallClock: () => 1_700_000_000_000 + s.nowMs,
-		right: () => 'grant',
 		entry: (key) => keys.get(key),
-		under: () => [],
 		job: (uid) => jobs.get(uid),
-		suspected: () => false,
-		usedElsewhere: () => ({ cpus: 0, gpus: 0 }),
-		leaver: () => () => null,
 		checks: () => checks,
 		heldBack: (uid, record) => (record.checks?.length ?? 0) > 0 && !released.has(uid),
 		marked: () => true,
@@ -59,18 +54,7 @@
 			w.done(content === null ? { kind: 'refused' } : { kind: 'ok', epoch: 9 })
 			return { ...w, until: 0 }
 		},
-		raise: () => {},
-		refresh: (done) => done(),
-		fresh: (done) => done(true),
-		epoch: () => 5,
-		command: () => {},
-		rent: () => {},
-		release: () => {},
-		cloudCalls: () => 0,
-		catalog: () => [BOX],
-		capacity: new CapacityBook(),
-		log: () => {},
-	}
+	})
 	const ports = new Proxy(plain, {
 		get: (target, name) => {
 			const f = target[name as keyof Ports]
--- a/tests/part.test.ts
+++ b/tests/part.test.ts
@@ -2,9 +2,9 @@
 import { test } from 'node:test'
 import type { JobRecord } from '@heathroad/cluster'
 import { DEFAULTS, derive } from '@heathroad/config'
-import { CapacityBook, NO_CHECKS, Part, type Ports } from '@heathroad/controller'
+import { Part } from '@heathroad/controller'
 import type { Write } from '@heathroad/store'
-import { BOX, plainSettings, sweep } from '@heathroad/testkit'
+import { idlePorts, plainSettings, sweep } from '@heathroad/testkit'
 import type { JobSpec, Order, Report, ReportedTask } from '@heathroad/wire'
 
 /** The token under which the part was taken. */
@@ -30,38 +30,19 @@
 		asked: 0,
 		hosts: Object.fromEntries(ids.map((id) => [id, `${id}:1`])),
 	})
-	const ports: Ports = {
+	const ports = idlePorts({
 		now: () => nowMs,
 		wallClock: () => 1_700_000_000_000 + nowMs,
-		right: () => 'grant',
-		entry: () => undefined,
 		under: (prefix) => (prefix === 'fleet/' ? [['fleet/r', { data: fleet(machines), stamp: 2 }]] : []),
 		job: (uid) => jobs.get(uid),
-		suspected: () => false,
-		usedElsewhere: () => ({ cpus: 0, gpus: 0 }),
-		leaver: () => () => null,
-		checks: () => NO_CHECKS,
-		heldBack: () => false,
-		marked: () => false,
 		openJobs: () => jobs.keys(),
-		wrote: () => {},
 		write: (w) => {
 			const write = { ...w, until: 0 }
 			writes.push(write)
 			return write
 		},
-		raise: () => {},
-		refresh: (done) => done(),
-		fresh: (done) => done(true),
-		epoch: () => 5,
 		command: (addr, _token, _tenure, orders, answer) => commands.push({ addr, orders, answer }),
-		rent: () => {},
-		release: () => {},
-		cloudCalls: () => 0,
-		catalog: () => [BOX],
-		capacity: new CapacityBook(),
-		log: () => {},
-	}
+	})
 	const part = new Part(0, TOKEN, { settings, ...DEFAULTS, derived: derive(settings) }, ports)
 	const counters = new Map<string, number>()
 	/** a report as its machine makes it now */
