--- a/packages/cluster/src/jobs.ts
+++ b/packages/cluster/src/jobs.ts
@@ -43,10 +43,9 @@
 		return { record: known, stamp: own?.stamp ?? 0 }
 	}
 
-	private cancelled(uid: string, { part, spec, ...r }: JobRecord): JobRecord {
-		const count = recordedDone(uid, { part, spec, ...r }, (key) => this.mirror.get(key)?.data)
-		const over = endedRecord(part, ended(uid, 'aborted', spec, count))
-		return { ...over, spec }
+	private cancelled(uid: string, record: JobRecord): JobRecord {
+		const done = recordedDone(uid, record, (key) => this.mirror.get(key)?.data)
+		return { ...endedRecord(record.part, ended(uid, 'aborted', record.spec, done)), spec: record.spec }
 	}
 
 	/** Peers tell of cancellations that our copy of the records may not hold yet: the jobs that this ends here. */
