--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,6 +1,7 @@
 export * from './balancer.js'
 export * from './clock.js'
 export * from './explore.js'
+export * from './gap.js'
 export * from './hunt.js'
 export * from './month.js'
 export * from './plugindays.js'
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -26,6 +26,7 @@
 		| 'crash'
 		| 'drain'
 		| 'stateDown'
+		| 'stateRefuses'
 		| 'stateSlow'
 		| 'cloudDown'
 		| 'cut'
@@ -284,7 +285,7 @@
 							['state', i],
 							{ from: i, to: null },
 							() => true,
-							() => new Promise((done) => this.state.handle(method, path, sent, done)),
+							() => new Promise((done) => this.state.handle(method, path, sent, done, i)),
 							answer,
 						)
 					else if (to === 'cloud:1')
@@ -547,6 +548,11 @@
 		} else if (t.kind === 'stateDown') {
 			this.state.down = true
 			this.clock.after(forMs, () => this.state.recover())
+		} else if (t.kind === 'stateRefuses') {
+			for (const i of who) this.state.refuses.add(i)
+			this.clock.after(forMs, () => {
+				for (const i of who) this.state.refuses.delete(i)
+			})
 		} else if (t.kind === 'stateSlow') {
 			this.stateSlowMs = 150
 			this.clock.after(forMs, () => {
--- a/scripts/hunt-days.mjs
+++ b/scripts/hunt-days.mjs
@@ -1,4 +1,4 @@
-// Plays days of random troubles in virtual time: npm run hunt:days [-- --from N --to N --lanes N --count EVENT --plugins]
+// Plays days of random troubles in virtual time: npm run hunt:days [-- --from N --to N --lanes N --count EVENT --kind any|plugins|gap]
 // Exits 1 if a rule was broken or a job never ended, and prints the seed, which gives the same day again.
 import { availableParallelism } from 'node:os'
 import { parseArgs } from 'node:util'
@@ -10,7 +10,7 @@
 if (!isMainThread) {
 	const { huntDay } = await import(new URL('../target/hunt.cjs', import.meta.url).href)
 	parentPort.on('message', async (seed) =>
-		parentPort.postMessage(await huntDay(seed, workerData.count, workerData.plugins)),
+		parentPort.postMessage(await huntDay(seed, workerData.count, workerData.kind)),
 	)
 } else {
 	const { build } = await import('esbuild')
@@ -19,7 +19,7 @@
 		options: {
 			from: { type: 'string', default: '1' },
 			to: { type: 'string', default: '80' },
-			plugins: { type: 'boolean', default: false },
+			kind: { type: 'string', default: 'any' },
 			lanes: { type: 'string', default: String(availableParallelism()) },
 			count: { type: 'string', multiple: true, default: ['moving job'] },
 		},
@@ -32,7 +32,7 @@
 		process.stdout.write(`seed ${seed}: ${what}\n`)
 	}
 	const start = () =>
-		new Worker(new URL(import.meta.url), { workerData: { count: values.count, plugins: values.plugins } })
+		new Worker(new URL(import.meta.url), { workerData: { count: values.count, kind: values.kind } })
 	const play = (worker, seed) =>
 		new Promise((done, failed) => {
 			const late = setTimeout(() => done(null), MOST_S * 1000)
--- a/scripts/regress.mjs
+++ b/scripts/regress.mjs
@@ -1,5 +1,6 @@
 // Scores the regression sites with the users' bench and compares with docs/regress.json.
-//   npm run regress [-- [--fleet] [--record] [--why TEXT] [KIT]]
+//   npm run regress [-- [--fleet] [--hunt] [--only] [--record] [--why TEXT] [KIT]]
+// --fleet, --hunt: those deployments too; --only: no others.
 // Exits 1 on a broken rule, a day that counts for nothing or a fall of more than 0.03; 2 if there is no kit.
 import { spawnSync } from 'node:child_process'
 import { existsSync, readdirSync, readFileSync, writeFileSync } from 'node:fs'
@@ -15,22 +16,29 @@
 	'more/szalkabel-jobs-ops',
 ]
 const FLEET = ['more/fleet/daugava-credit-batch-fleet', 'more/fleet/szalkabel-jobs-fleet']
+const HUNT = ['more/hunt/daugava-credit-batch-hunt', 'more/hunt/szalkabel-jobs-hunt']
 
 const { values, positionals } = parseArgs({
 	allowPositionals: true,
 	options: {
 		fleet: { type: 'boolean', default: false },
+		hunt: { type: 'boolean', default: false },
+		only: { type: 'boolean', default: false },
 		record: { type: 'boolean', default: false },
 		why: { type: 'string', default: 'Regression run.' },
 	},
 })
 const kit = positionals[0] ?? '../given/kit'
-const bench = join(kit, 'more/fleet/bin/fleetbench')
+const bench = join(kit, 'more/hunt/bin/fleetbench')
 if (!existsSync(bench)) {
 	process.stderr.write(`regress: there is no kit at ${kit}: nothing was scored\n`)
 	process.exit(2)
 }
-const sites = values.fleet ? [...SITES, ...FLEET] : SITES
+const sites = [...(values.only ? [] : SITES), ...(values.fleet ? FLEET : []), ...(values.hunt ? HUNT : [])]
+if (sites.length === 0) {
+	process.stderr.write('regress: --only needs --fleet or --hunt\n')
+	process.exit(2)
+}
 const before = new Set(readdirSync('journal'))
 const run = spawnSync(
 	bench,
