Play users who look closely, cancel at the worst moment or err, and judge what they are told

Change: stand-ins for machines that reach nobody or hang, answers lost of transactions that were carried out, reports kept for the next owner, slow links; users are a module of their own (Crowd). The checker learns answers that count down, jobs accepted though they must not be, jobs left waiting beside room; starts after a confirmed cancellation are counted. A machine that hangs beyond its lease holds nothing any more: the protocol lets it go on only within that. Measured: each planted fault is found (tests/rules.test.ts).

--- a/packages/testkit/src/hunt.ts
+++ b/packages/testkit/src/hunt.ts
@@ -96,6 +96,16 @@
 	(r, who) => ({ kind: 'cut', who, from: 'workers', forS: 5 + r() * 25 }),
 	(_, who) => ({ kind: 'ownError', who }),
 	(r, who) => ({ kind: 'watchLost', who, forS: 5 + r() * 20 }),
+	(r) => ({ kind: 'lostAnswers', forS: 3 + r() * 30, share: 0.1 + r() * 0.5 }),
+	(r) => ({ kind: 'heldReports', forS: 5 + r() * 40, share: 0.2 + r() * 0.5 }),
+	(r) => ({ kind: 'machineMute', forS: 2 + r() * 40, share: 0.2 + r() * 0.6 }),
+	(r) => ({ kind: 'machineHang', forS: 1 + r() * 20, share: 0.1 + r() * 0.5 }),
+	(r) => ({ kind: 'cancelNow', forS: 1, count: 3 + Math.floor(r() * 10), hangS: r() < 0.5 ? 0 : r() * 20 }),
+	(r) => ({ kind: 'cancelAtEnd', forS: 5 + r() * 40, share: 0.3 + r() * 0.7 }),
+	(r) => ({ kind: 'closeLooks', forS: 5 + r() * 40, share: 0.5 + r() * 0.5 }),
+	(r) => ({ kind: 'oddRequests', forS: 5 + r() * 40 }),
+	(r) => ({ kind: 'boots', forS: 10 + r() * 30, factor: 0.1 }),
+	(r) => ({ kind: 'slowLinks', forS: 5 + r() * 40, factor: 0.3 + r() * 2 }),
 ]
 
 /** A day of such meetings, with jobs of few tasks that end far apart, many of them cancelled. */
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,5 +1,6 @@
 export * from './balancer.js'
 export * from './clock.js'
+export * from './crowd.js'
 export * from './explore.js'
 export * from './gap.js'
 export * from './hunt.js'
--- a/packages/testkit/src/plugindays.ts
+++ b/packages/testkit/src/plugindays.ts
@@ -97,6 +97,8 @@
 	const limitMs = Math.min(...Object.values(day.plugins).map((p) => p.holdAtMostS * 1000))
 	const unsure = Object.values(day.plugins).some((p) => p.whenUnsure === 'release')
 	const grouped = Object.values(day.directory).some((v) => v?.ask === 'class')
+	const { mayWait } = world.rules
+	world.rules.mayWait = (spec) => spec.jobClass === CHECKED || mayWait(spec)
 	const placed = world.rules.placed.bind(world.rules)
 	world.rules.placed = (task, machine, type, zone, spot) => {
 		const uid = task.split('/')[0]
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -4,6 +4,23 @@
 const SILENT_MS = 75_000
 /** A class's largest jobs have to begin within that time (kit: meetings). */
 const BEGIN_MS = 240_000
+/** Nothing waits so long beside a machine with room, once all troubles are over (kit: meetings). */
+const LEFT_MS = 90_000
+
+/** A machine that can take tasks. */
+export interface Room {
+	id: string
+	type: string
+	zone: string
+	spot: boolean
+	cpus: number
+}
+
+/** What a user is told about how far a job is, and what had been told when the question was asked. */
+export interface Counts {
+	now: number
+	before: number
+}
 
 interface Watched {
 	spec: JobSpec
@@ -15,6 +32,10 @@
 	begunAt: number | null
 	/** since when no question about it was answered; null: the last one was */
 	silentSince: number | null
+	/** since when a task of it has waited beside a machine with room */
+	leftSince: number | null
+	/** the most done tasks that anybody was told */
+	count: number
 }
 
 /** Watches the world, not the service, and writes down every broken rule of the protocol. */
@@ -26,7 +47,17 @@
 	/** from when on all troubles are over */
 	calmFromMs = Number.POSITIVE_INFINITY
 	private readonly done = new Map<string, Set<number>>()
+	/** submissions that must never be accepted */
+	private readonly invalid = new Set<string>()
 	started = 0
+	/** tasks that took a place after their user had been told of the cancellation, early enough to break no rule */
+	startedCancelled = 0
+	/** called when a user is told something new: accepted, done or cancelled */
+	news: (uid: string, state: string) => void = () => {}
+	/** called when a job's last task has completed */
+	ended: (uid: string) => void = () => {}
+	/** jobs that may wait beside room: they fail everywhere, or checks hold them */
+	mayWait: (spec: JobSpec) => boolean = () => false
 
 	constructor(
 		private readonly now: () => number,
@@ -39,9 +70,27 @@
 	}
 
 	submitted(spec: JobSpec): void {
-		if (this.jobs.has(spec.uid)) return
+		if (this.jobs.has(spec.uid) || this.invalid.has(spec.uid)) return
 		const now = { cancelAsked: false, told: null, toldAt: 0, submittedAt: this.now() }
-		this.jobs.set(spec.uid, { spec, ...now, begunAt: null, silentSince: null })
+		this.jobs.set(spec.uid, {
+			spec,
+			...now,
+			begunAt: null,
+			silentSince: null,
+			leftSince: null,
+			count: 0,
+		})
+	}
+
+	/** A submission that must not be accepted is about to be sent. */
+	mustRefuse(uid: string): void {
+		this.invalid.add(uid)
+	}
+
+	/** Its answer: `status` is the right one, or the controller could not decide. */
+	refusedAs(uid: string, status: number, right: number): void {
+		if (status === right || status === 429 || status === 503) return
+		this.say(status < 300 ? 'accepted_invalid' : 'wrong_refusal', `${uid}: ${status}, not ${right}`)
 	}
 
 	/** A user asked about a job and got an answer that says what becomes of it, or none. */
@@ -113,7 +162,11 @@
 			(spec.zone !== null && spec.zone !== zone) ||
 			(spot && !spec.spot)
 		if (wrong) this.say('wrong_place', `${task} on ${type} in ${zone}`)
-		if (job.told === 'aborted' && this.now() - job.toldAt > this.cancelMs) this.say('ran_cancelled', task)
+		job.leftSince = null
+		if (job.told === 'aborted') {
+			if (this.now() - job.toldAt > this.cancelMs) this.say('ran_cancelled', task)
+			else this.startedCancelled++
+		}
 		const limit = this.limits.get(spec.team)
 		if (limit === undefined) return
 		let used = 0
@@ -134,6 +187,56 @@
 		const set = this.done.get(uid) ?? new Set()
 		set.add(Number(n))
 		this.done.set(uid, set)
+		if (set.size === this.jobs.get(uid)?.spec.tasks) this.ended(uid)
+	}
+
+	/** Jobs that are accepted, not over and not called off, with their tasks that are on machines. */
+	running(): { spec: JobSpec; machines: string[] }[] {
+		const out: { spec: JobSpec; machines: string[] }[] = []
+		for (const { spec, told, cancelAsked } of this.jobs.values()) {
+			if (told === null || told === 'done' || told === 'aborted' || cancelAsked) continue
+			const machines = Array.from({ length: spec.tasks }, (_, n) => [
+				...(this.on.get(`${spec.uid}/${n}`) ?? []),
+			])
+			out.push({ spec, machines: machines.flat() })
+		}
+		return out
+	}
+
+	/** Troubles are over: does a job wait while a machine that fits has room and its team is under its limit? */
+	look(machines: readonly Room[]): void {
+		if (this.now() < this.calmFromMs) return
+		const left = new Map(machines.map((m) => [m.id, m.cpus]))
+		const used = new Map<string, number>()
+		for (const [task, at] of this.on) {
+			const spec = this.jobs.get(task.split('/')[0])?.spec
+			if (spec === undefined || at.size === 0) continue
+			used.set(spec.team, (used.get(spec.team) ?? 0) + spec.cpus)
+			for (const id of at) left.set(id, (left.get(id) ?? 0) - spec.cpus)
+		}
+		for (const { spec, machines: on } of this.running()) {
+			const job = this.jobs.get(spec.uid)!
+			const waits = on.length + (this.done.get(spec.uid)?.size ?? 0) < spec.tasks
+			const limit = this.limits.get(spec.team) ?? Number.POSITIVE_INFINITY
+			const fits = (m: Room) =>
+				(spec.types?.includes(m.type) ?? true) &&
+				(spec.zone ?? m.zone) === m.zone &&
+				(spec.spot || !m.spot) &&
+				left.get(m.id)! >= spec.cpus
+			if (
+				!waits ||
+				this.mayWait(spec) ||
+				(used.get(spec.team) ?? 0) + spec.cpus > limit ||
+				!machines.some(fits)
+			) {
+				job.leftSince = null
+				continue
+			}
+			job.leftSince ??= this.now()
+			if (this.now() - job.leftSince < LEFT_MS) continue
+			this.say('left_waiting', `${spec.uid} beside ${machines.find(fits)!.id}`)
+			job.leftSince = Number.POSITIVE_INFINITY
+		}
 	}
 
 	/** Looks at what time alone can break. */
@@ -145,8 +248,15 @@
 		}
 	}
 
-	/** What a user was told about a job. `known`: what had been told when the question was asked. */
-	told(uid: string, status: number, state: string | null, known: string | null): void {
+	/**
+	 * What a user was told about a job. `known`: what had been told, by any controller, when the question was asked;
+	 * `counts`: how many of its tasks are called done, where the answer says so.
+	 */
+	told(uid: string, status: number, state: string | null, known: string | null, counts?: Counts): void {
+		if (this.invalid.has(uid)) {
+			if (status === 200 || status === 201) this.say('accepted_invalid', `${uid} is called ${state}`)
+			return
+		}
 		const job = this.jobs.get(uid)
 		if (job === undefined) {
 			if (status === 200) this.say('invented', `${uid} is called ${state}`)
@@ -157,18 +267,30 @@
 		if ((known === 'done' || known === 'aborted') && state !== known)
 			return this.say('went_back', `${uid} was ${known}, now ${state}`)
 		if (state === 'aborted' && !job.cancelAsked) this.say('went_back', `${uid} is cancelled, nobody asked`)
+		if (counts !== undefined) {
+			if (counts.now < counts.before)
+				this.say('went_back', `${uid} had ${counts.before} tasks done, now ${counts.now}`)
+			if (counts.now > (this.done.get(uid)?.size ?? 0)) this.say('not_done', `${uid}: ${counts.now} tasks`)
+			job.count = Math.max(job.count, counts.now)
+		}
 		if (state === 'done' && (this.done.get(uid)?.size ?? 0) < job.spec.tasks)
 			this.say('not_done', `${uid}: ${this.done.get(uid)?.size ?? 0} of ${job.spec.tasks}`)
-		if (job.told !== 'done' && job.told !== 'aborted') {
-			job.told = state
-			if (state === 'aborted') job.toldAt = this.now()
-		}
+		if (job.told === 'done' || job.told === 'aborted') return
+		const first = job.told === null
+		job.told = state
+		if (state === 'aborted') job.toldAt = this.now()
+		if (state !== null && (first || state === 'done' || state === 'aborted')) this.news(uid, state)
 	}
 
 	state(uid: string): string | null {
 		return this.jobs.get(uid)?.told ?? null
 	}
 
+	/** The most tasks of a job that anybody was told are done. */
+	count(uid: string): number {
+		return this.jobs.get(uid)?.count ?? 0
+	}
+
 	unfinished(): string[] {
 		return [...this.jobs].filter(([, j]) => j.told !== 'done' && j.told !== 'aborted').map(([uid]) => uid)
 	}
--- a/packages/testkit/src/standins.ts
+++ b/packages/testkit/src/standins.ts
@@ -31,6 +31,8 @@
 	durable: (key: string, data: unknown) => void = () => {}
 	/** called with every key that is set or deleted */
 	changed: (key: string) => void = () => {}
+	/** called when a part has a new owner */
+	taken: () => void = () => {}
 
 	/** `keeps`: how many changes are kept for watches */
 	constructor(
@@ -71,6 +73,7 @@
 
 	private tell(e: { key: string; data: unknown; stamp: number }): void {
 		this.changed(e.key)
+		if (e.data !== undefined && /\/part\/\d+$/.test(e.key)) this.taken()
 		this.log.push(e)
 		if (this.log.length <= this.keeps * 1.25) return
 		const gone = this.log.splice(0, this.log.length - this.keeps)
@@ -322,6 +325,8 @@
 	/** every task on it fails */
 	faulty = false
 	private takenAt: number | null = null
+	/** it stands still until then: what arrives waits */
+	private hungUntil = 0
 
 	constructor(
 		private readonly w: WorkerWorld,
@@ -335,14 +340,46 @@
 		this.loop()
 	}
 
+	get hung(): boolean {
+		return this.w.clock.nowMs < this.hungUntil
+	}
+
+	/** The cloud announced that it takes the machine. */
+	get noticed(): boolean {
+		return this.takenAt !== null
+	}
+
+	/**
+	 * It stands still; its tasks, its reports and what reaches it go on afterwards, its tasks only within its lease: the
+	 * protocol has a hanging machine go on at any time within that, so what is left by then is gone.
+	 */
+	hang(forMs: number): void {
+		this.hungUntil = Math.max(this.hungUntil, this.w.clock.nowMs + forMs)
+	}
+
+	/** Does something once it goes on; a lease that ended meanwhile ends first. */
+	private awake(run: () => void): void {
+		if (!this.hung) return run()
+		this.w.clock.after(this.hungUntil - this.w.clock.nowMs, () =>
+			this.awake(() => {
+				this.lookAtLease()
+				run()
+			}),
+		)
+	}
+
+	private lookAtLease(): void {
+		if (this.dead || this.w.clock.nowMs - this.leaseFrom <= this.w.leaseMs) return
+		for (const t of this.tasks.values()) this.leave(t)
+		this.tasks.clear()
+		this.tenure++
+		this.leaseFrom = this.w.clock.nowMs
+	}
+
 	private loop(): void {
 		if (this.dead) return
-		if (this.w.clock.nowMs - this.leaseFrom > this.w.leaseMs) {
-			for (const t of this.tasks.values()) this.leave(t)
-			this.tasks.clear()
-			this.tenure++
-			this.leaseFrom = this.w.clock.nowMs
-		}
+		this.lookAtLease()
+		if (this.hung) return void this.w.clock.after(100, () => this.loop())
 		const since = this.w.clock.nowMs - this.lastSent
 		if (!this.inFlight && (since >= this.w.reportMs || (this.changedSince && since >= 500))) this.report()
 		this.w.clock.after(100, () => this.loop())
@@ -410,8 +447,10 @@
 				for (const o of r.body.orders as Body[]) this.execute(o)
 			} else next(r?.status === 421 && isMap(r.body) ? ((r.body.overseer as string) ?? null) : null)
 		}
-		this.w.send(this.id, this.w.controllers[this.target], '/checkin', this.body(), finish)
-		this.w.clock.after(4000, () => finish(null))
+		const heard = (r: Response | null) =>
+			this.awake(() => finish(this.w.clock.nowMs - sent > 4000 ? null : r))
+		this.w.send(this.id, this.w.controllers[this.target], '/checkin', this.body(), heard)
+		this.w.clock.after(4000, () => this.awake(() => finish(null)))
 	}
 
 	private execute(o: Body): void {
@@ -435,11 +474,16 @@
 		if (known === null) return this.refuse(t, 'no_such')
 		if (alive.some((o) => o.piece === piece)) return this.refuse(t, 'in_use')
 		if (used + known.cpus > this.type.cpus) return this.refuse(t, 'no_room')
-		t.timer = this.w.clock.after(known.fetchMs, () => {
+		// A timer that was called off while the machine stood still does nothing afterwards.
+		const later = (ms: number, run: () => void) => {
+			const timer = this.w.clock.after(ms, () => this.awake(() => !timer.gone && run()))
+			t.timer = timer
+		}
+		later(known.fetchMs, () => {
 			t.status = 'running'
 			this.changedSince = true
 			this.w.rules.placed(piece, this.id, this.type.name, this.zone, this.spot)
-			t.timer = this.w.clock.after(this.finished.has(piece) ? 0 : known.runMs, () => {
+			later(this.finished.has(piece) ? 0 : known.runMs, () => {
 				if (this.faulty || known.fails) return this.exit(t, 'error')
 				this.finished.add(piece)
 				this.w.rules.completed(piece)
@@ -460,7 +504,11 @@
 		this.changedSince = true
 	}
 
-	/** The worker's own address. */
+	/** The worker's own address, once it goes on; null: nobody is there any more. */
+	call(path: string, body: unknown): Promise<Response | null> {
+		return new Promise((done) => this.awake(() => done(this.dead ? null : this.handle(path, body))))
+	}
+
 	handle(path: string, body: unknown): Response {
 		if (path !== '/commands' || !isMap(body) || body.fence === undefined || body.tenure === undefined)
 			return { status: path === '/inspect' ? 200 : 400, body: this.body() }
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -6,18 +6,17 @@
 	type Caller,
 	decode,
 	encode,
-	isMap,
 	type JobSpec,
 	type MachineType,
 	Malformed,
 	NoAnswer,
 	readSubmission,
-	writeSubmission,
 } from '@heathroad/wire'
 import { Effect } from 'effect'
 import { Balancer } from './balancer.js'
 import { type Clock, VirtualClock } from './clock.js'
-import { Rules } from './rules.js'
+import { Crowd, type DayJob } from './crowd.js'
+import { type Room, Rules } from './rules.js'
 import { CloudStandIn, type Response, StateStandIn, WorkerStandIn } from './standins.js'
 
 export interface Trouble {
@@ -30,7 +29,16 @@
 		| 'watchLost'
 		| 'lateWrites'
 		| 'lateReports'
+		| 'lostAnswers'
+		| 'heldReports'
 		| 'machineDeaf'
+		| 'machineMute'
+		| 'machineHang'
+		| 'slowLinks'
+		| 'cancelNow'
+		| 'cancelAtEnd'
+		| 'closeLooks'
+		| 'oddRequests'
 		| 'heldUp'
 		| 'stateSlow'
 		| 'cloudDown'
@@ -55,12 +63,15 @@
 	forS?: number
 	/** how much longer than usual boots take, how much oftener users ask */
 	factor?: number
+	/** how many jobs are called off at once, and how long their machines hang */
+	count?: number
+	hangS?: number
 }
 
 export interface Day {
 	seed: number
 	untilS: number
-	jobs: readonly { atS: number; spec: JobSpec; cancelAtS?: number }[]
+	jobs: readonly DayJob[]
 	troubles: readonly Trouble[]
 	/** users ask the controllers that a balancer finds healthy, instead of any */
 	balanced?: boolean
@@ -154,15 +165,18 @@
 	private readonly watchless = new Set<number>()
 	/** machines whose reports arrive, while answers and direct commands to them are lost */
 	private readonly deaf = new Set<string>()
-	/** shares of transactions without an answer that are carried out later, of reports that arrive once more, of messages
-	 * between controllers and workers that are held up */
-	private readonly shares = { lateWrites: 0, lateReports: 0, heldUp: 0 }
+	/** machines that reach no controller, while direct commands reach them */
+	private readonly mute = new Set<string>()
+	/** shares of transactions without an answer that are carried out later or at once, of reports that arrive once more
+	 * later or when a part has a new owner, of messages between controllers and workers that are held up */
+	private readonly shares = { lateWrites: 0, lostAnswers: 0, lateReports: 0, heldReports: 0, heldUp: 0 }
+	/** copies of reports that wait for the next owner of any part */
+	private kept: unknown[] = []
 	private stateSlowMs = 0
-	private pollFactor = 1
+	private linksSlowMs = 0
+	readonly crowd: Crowd
 	private readonly specs = new Map<string, JobSpec>()
 	private readonly balancer: Balancer
-	/** submissions as they were answered: by status; 0: no answer, or no healthy controller */
-	readonly submissions = new Map<number, number>()
 	private readonly times: { reportS: number; leaseS: number; cancelS: number }
 
 	constructor(
@@ -177,6 +191,19 @@
 		this.times = day.report ?? { reportS: 1, leaseS: 10, cancelS: 30 }
 		this.rules = new Rules(() => this.clock.nowMs, this.times.cancelS * 1000, day.limits ?? new Map())
 		this.state = new StateStandIn(this.clock)
+		this.state.taken = () => this.bringKept()
+		this.crowd = new Crowd({
+			clock: this.clock,
+			rules: this.rules,
+			controllers: this.names.length,
+			someController: () => this.someController(),
+			send: (i, method, path, body, reply) => {
+				const serve = () => this.face(i, method, path, body)
+				this.deliver(['users', i], { from: null, to: i }, this.life(i), serve, reply)
+			},
+			hang: (id, forMs) => this.workers.get(id)?.hang(forMs),
+		})
+		this.rules.mayWait = (spec) => spec.jobClass === 'broken'
 		const capacity = new Map(
 			['a', 'b'].flatMap((z) => [`box/${z}/true`, `box/${z}/false`].map((k) => [k, day.capacity ?? 4])),
 		)
@@ -214,12 +241,13 @@
 				},
 				send: (machine, controller, path, body, reply) => {
 					const i = this.names.indexOf(controller)
-					if (this.silent.has(machine)) return
+					if (this.silent.has(machine) || this.mute.has(machine)) return
 					const serve = () => this.face(i, 'POST', path, body)
 					const heard = (r: Response | null) => {
 						if (!this.deaf.has(machine)) reply(r)
 					}
 					this.deliver(['workers', i], { from: null, to: i }, this.life(i), serve, heard, zone)
+					if (this.happens('heldReports')) this.kept.push(body)
 					// Copies of old reports, whoever lives at the address by then.
 					if (!this.happens('lateReports')) return
 					const again = this.clock.between(2000, this.times.leaseS * 2500)
@@ -233,6 +261,17 @@
 		)
 	}
 
+	/** A part has a new owner: what was kept reaches every controller just then. */
+	private bringKept(): void {
+		const all = this.kept
+		this.kept = []
+		for (const body of all)
+			for (const i of this.names.keys()) {
+				const arrive = () => void this.face(i, 'POST', '/checkin', body)
+				this.clock.after(this.clock.between(0, 400), arrive, null)
+			}
+	}
+
 	/** Chance is asked only while the trouble is there: days without it stay as they are. */
 	private happens(kind: keyof World['shares']): boolean {
 		return this.shares[kind] > 0 && this.clock.random() < this.shares[kind]
@@ -278,19 +317,20 @@
 		const held = over[0] === 'workers' && this.happens('heldUp')
 		const late = this.clock.random() < loss ? this.clock.between(1000, 20_000) : 0
 		const slow = over[0] === 'state' ? this.stateSlowMs * this.clock.between(0.5, 1.5) : 0
+		const link = () => (this.linksSlowMs > 0 ? this.linksSlowMs * this.clock.between(0.5, 1.5) : 0)
 		const holdUp = () => (held ? this.clock.between(500, 6000) : 0)
 		const back = (r: Response | null) => {
 			if (r === null || this.clock.random() < loss) return
 			const arrive = () => {
 				if (!cut() && alive()) this.clock.after(0, () => reply(r), ends.from)
 			}
-			this.clock.after(this.clock.between(1, 5) + holdUp(), arrive, null)
+			this.clock.after(this.clock.between(1, 5) + holdUp() + link(), arrive, null)
 		}
 		const there = () => {
 			if (cut() || this.clock.random() < loss || !alive()) return
 			this.clock.after(0, () => void serve().then(back), ends.to)
 		}
-		this.clock.after(this.clock.between(1, 5) + late + slow + holdUp(), there, null)
+		this.clock.after(this.clock.between(1, 5) + late + slow + holdUp() + link(), there, null)
 	}
 
 	private caller(i: number): Caller {
@@ -313,13 +353,14 @@
 						const late = () => this.state.handle(method, path, sent, () => {}, i)
 						return void this.clock.after(this.clock.between(2000, 12_000), late, null)
 					}
+					const lost = to === 'state:1' && path === '/txn' && this.happens('lostAnswers')
 					if (to === 'state:1')
 						this.deliver(
 							['state', i],
 							{ from: i, to: null },
 							() => true,
 							() => new Promise((done) => this.state.handle(method, path, sent, done, i)),
-							answer,
+							lost ? () => {} : answer,
 						)
 					else if (to === 'cloud:1')
 						this.deliver(
@@ -337,7 +378,7 @@
 							() => {
 								const w = this.workers.get(to.split(':')[0])
 								const deaf = w === undefined || w.dead || this.silent.has(w.id) || this.deaf.has(w.id)
-								return Promise.resolve(deaf ? null : w.handle(path, sent))
+								return deaf ? Promise.resolve(null) : w.call(path, sent)
 							},
 							answer,
 							this.workers.get(to.split(':')[0])?.zone ?? null,
@@ -509,63 +550,6 @@
 		)
 	}
 
-	/** A user asks any controller, again and again until the answer is final. */
-	private user(job: Day['jobs'][number]): void {
-		const { spec } = job
-		let cancelling = false
-		const ask = (method: string, path: string, body: unknown, heard: (r: Response | null) => void) => {
-			const i = this.someController()
-			let over = false
-			const known = this.rules.state(spec.uid)
-			const finish = (r: Response | null) => {
-				if (over) return
-				over = true
-				if (r !== null)
-					this.rules.told(
-						spec.uid,
-						r.status,
-						isMap(r.body) ? ((r.body.status as string) ?? null) : null,
-						known,
-					)
-				this.rules.asked(spec.uid, r?.status === 200 || r?.status === 201 || r?.status === 404)
-				heard(r)
-			}
-			if (i === null) return void this.clock.after(1000, () => finish(null))
-			const serve = () => this.face(i, method, path, body)
-			this.deliver(['users', i], { from: null, to: i }, this.life(i), serve, finish)
-			this.clock.after(4000, () => finish(null))
-		}
-		const poll = () => {
-			const state = this.rules.state(spec.uid)
-			if (state === 'done' || state === 'aborted') {
-				// Final states are asked for again, much later.
-				this.clock.after(20_000, () => ask('GET', `/v2/runs/${spec.uid}`, undefined, () => poll()))
-				return
-			}
-			ask('GET', `/v2/runs/${spec.uid}`, undefined, () => this.clock.after(3000 / this.pollFactor, poll))
-		}
-		const cancel = () => {
-			if (!cancelling) this.rules.cancelAsked(spec.uid)
-			cancelling = true
-			ask('POST', `/v2/runs/${spec.uid}/withdraw`, {}, (r) => {
-				if (r?.status !== 200 && r?.status !== 404) this.clock.after(1000, cancel)
-			})
-		}
-		const submit = () => {
-			this.rules.submitted(spec)
-			ask('POST', '/v2/runs', writeSubmission(spec), (r) => {
-				const status = r?.status ?? 0
-				this.submissions.set(status, (this.submissions.get(status) ?? 0) + 1)
-				// Not retried (protocol).
-				if (status === 422) return this.rules.refused(spec.uid)
-				if (r?.status === 200 || r?.status === 201) poll()
-				else this.clock.after(1000, submit)
-			})
-		}
-		this.clock.after(job.atS * 1000, submit)
-		if (job.cancelAtS !== undefined) this.clock.after(job.cancelAtS * 1000, cancel)
-	}
-
 	private trouble(t: Trouble): void {
 		const who = t.who ?? [0]
 		const forMs = (t.forS ?? 5) * 1000
@@ -579,9 +563,9 @@
 				this.cloud.bootFactor = 1
 			})
 		} else if (t.kind === 'pollStorm') {
-			this.pollFactor = t.factor ?? 8
+			this.crowd.eagerness = t.factor ?? 8
 			this.clock.after(forMs, () => {
-				this.pollFactor = 1
+				this.crowd.eagerness = 1
 			})
 		} else if (t.kind === 'stateDown') {
 			this.state.down = true
@@ -596,17 +580,39 @@
 			this.clock.after(forMs, () => {
 				for (const i of who) this.watchless.delete(i)
 			})
-		} else if (t.kind === 'lateWrites' || t.kind === 'lateReports' || t.kind === 'heldUp') {
+		} else if (t.kind === 'cancelAtEnd' || t.kind === 'closeLooks') {
+			const { kind } = t
+			this.crowd.shares[kind] = t.share ?? 1
+			this.clock.after(forMs, () => {
+				this.crowd.shares[kind] = 0
+			})
+		} else if (t.kind === 'cancelNow') this.crowd.cancelNow(t.count ?? 10, (t.hangS ?? 0) * 1000)
+		else if (t.kind === 'oddRequests') this.crowd.err(forMs)
+		else if (t.kind === 'machineHang') {
+			for (const w of this.workers.values()) if (this.clock.random() < (t.share ?? 0.5)) w.hang(forMs)
+		} else if (t.kind === 'slowLinks') {
+			this.linksSlowMs = (t.factor ?? 1) * 300
+			this.clock.after(forMs, () => {
+				this.linksSlowMs = 0
+			})
+		} else if (
+			t.kind === 'lateWrites' ||
+			t.kind === 'lostAnswers' ||
+			t.kind === 'lateReports' ||
+			t.kind === 'heldReports' ||
+			t.kind === 'heldUp'
+		) {
 			const { kind } = t
 			this.shares[kind] = t.share ?? 0.5
 			this.clock.after(forMs, () => {
 				this.shares[kind] = 0
 			})
-		} else if (t.kind === 'machineDeaf') {
-			const deaf = [...this.workers.keys()].filter(() => this.clock.random() < (t.share ?? 0.5))
-			for (const id of deaf) this.deaf.add(id)
+		} else if (t.kind === 'machineDeaf' || t.kind === 'machineMute') {
+			const all = t.kind === 'machineDeaf' ? this.deaf : this.mute
+			const some = [...this.workers.keys()].filter(() => this.clock.random() < (t.share ?? 0.5))
+			for (const id of some) all.add(id)
 			this.clock.after(forMs, () => {
-				for (const id of deaf) this.deaf.delete(id)
+				for (const id of some) all.delete(id)
 			})
 		} else if (t.kind === 'stateSlow') {
 			this.stateSlowMs = 150
@@ -652,6 +658,15 @@
 			}
 	}
 
+	/** Machines that can take tasks. */
+	private room(): Room[] {
+		const out: Room[] = []
+		for (const { id, type, zone, spot, dead, faulty, hung, noticed } of this.workers.values())
+			if (!dead && !faulty && !hung && !noticed)
+				out.push({ id, type: type.name, zone, spot, cpus: type.cpus })
+		return out
+	}
+
 	async play(): Promise<void> {
 		if (!(this.clock instanceof VirtualClock)) throw new Error('a day is played in virtual time')
 		await this.clock.run(this.day.untilS * 1000, () => {
@@ -659,7 +674,7 @@
 			for (let i = 0; i < this.names.length; i++)
 				this.clock.after(this.clock.between(0, 300), () => this.boot(i))
 			if (this.day.balanced) this.probe()
-			for (const job of this.day.jobs) this.user(job)
+			for (const job of this.day.jobs) this.crowd.add(job)
 			const ends = this.day.troubles.map((t) => t.atS + (t.forS ?? 5))
 			if ((this.day.loss ?? 0) > 0) ends.push(this.day.lossUntilS ?? Number.POSITIVE_INFINITY)
 			this.rules.calmFromMs = Math.max(0, ...ends) * 1000
@@ -675,6 +690,7 @@
 					(r) => this.rules.told('job-999999', r?.status ?? 0, null, null),
 				)
 				this.rules.check()
+				this.rules.look(this.room())
 				this.clock.after(1000, ghost)
 			}
 			ghost()
--- a/tests/daemon.test.ts
+++ b/tests/daemon.test.ts
@@ -41,8 +41,8 @@
 })
 
 const submissions = (world: World) => ({
-	refused: [...world.submissions].reduce((n, [status, count]) => n + (status >= 429 ? count : 0), 0),
-	unanswered: world.submissions.get(0) ?? 0,
+	refused: [...world.crowd.submissions].reduce((n, [status, count]) => n + (status >= 429 ? count : 0), 0),
+	unanswered: world.crowd.submissions.get(0) ?? 0,
 })
 
 test('all controllers drained one after the other: no submission is refused or lost, no lease runs out', async () => {
--- a/tests/plugindays.test.ts
+++ b/tests/plugindays.test.ts
@@ -171,9 +171,9 @@
 	const hooks = ['admit', 'release'] as const
 	const one = await playChecked(day({ directory: { one: version('1', admit, { hooks }) }, troubles }))
 	assert.deepEqual(one.broken, [])
-	assert.equal(one.world.submissions.get(422), refused)
+	assert.equal(one.world.crowd.submissions.get(422), refused)
 	const hung = await playChecked(day({ directory: { one: version('1', () => {}, { hooks }) } }))
 	assert.deepEqual(hung.broken, [])
-	assert.equal(hung.world.submissions.get(422), undefined)
+	assert.equal(hung.world.crowd.submissions.get(422), undefined)
 	assert.deepEqual(hung.world.rules.unfinished(), [])
 })
--- a/tests/rules.test.ts
+++ b/tests/rules.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { Rules, sweep } from '@heathroad/testkit'
+import { type Room, Rules, sweep } from '@heathroad/testkit'
 
 /** A checker with a clock of its own, one accepted job of two tasks, and troubles that end after 100 s. */
 const watch = () => {
@@ -26,6 +26,28 @@
 	}
 }
 
+const finish = ({ rules }: Watch, n: number) => rules.completed(`${UID}/${n}`)
+const count = ({ rules }: Watch, now: number, before: number) =>
+	rules.told(UID, 200, 'running', 'running', { now, before })
+const ODD = 'job-800001'
+const odd = ({ rules }: Watch, status: number, right: number) => {
+	rules.mustRefuse(ODD)
+	rules.submitted(sweep(ODD))
+	rules.refusedAs(ODD, status, right)
+}
+const wait = (w: Watch, fromS: number, toS: number, more: Partial<Room> = {}) => {
+	for (let s = fromS; s <= toS; s++) {
+		w.at(s)
+		w.rules.look([{ id: 'i-1', type: 'box', zone: 'a', spot: true, cpus: 8, ...more }])
+	}
+}
+/** Another job of the team takes what its limit leaves. */
+const others = (w: Watch) => {
+	w.rules.submitted(sweep('job-000002', { tasks: 1, cpus: 3 }))
+	w.rules.told('job-000002', 201, 'pending', null)
+	return [place(w, 'job-000002/0', 'i-2')]
+}
+
 test("the rules' checker finds every fault that is planted, and none where there is none", () => {
 	const cases: [name: string, play: (w: Watch) => void, rule: string | null][] = [
 		['a task on one machine', (w) => place(w), null],
@@ -57,6 +79,30 @@
 		],
 		['cancelled, nobody asked', (w) => w.rules.told(UID, 200, 'aborted', 'pending'), 'went_back'],
 		['an older answer', (w) => [cancel(w), w.rules.told(UID, 200, 'running', 'aborted')], 'went_back'],
+		['done tasks counted up', (w) => [finish(w, 0), count(w, 1, 0), finish(w, 1), count(w, 2, 1)], null],
+		['done tasks counted down', (w) => [finish(w, 0), count(w, 1, 0), count(w, 0, 1)], 'went_back'],
+		['more than were done', (w) => [finish(w, 0), count(w, 2, 0)], 'not_done'],
+		['what must be refused is', (w) => odd(w, 400, 400), null],
+		['cannot be decided yet', (w) => odd(w, 503, 400), null],
+		['refused as something else', (w) => odd(w, 422, 400), 'wrong_refusal'],
+		['accepted although it lacks a field', (w) => odd(w, 201, 400), 'accepted_invalid'],
+		['accepted although it can never run', (w) => odd(w, 201, 422), 'accepted_invalid'],
+		[
+			'known although it must not be',
+			(w) => [odd(w, 503, 422), w.rules.told(ODD, 200, 'pending', null)],
+			'accepted_invalid',
+		],
+		['waiting while there are troubles', (w) => wait(w, 1, 99), null],
+		['waiting for a minute', (w) => wait(w, 80, 189), null],
+		['started in between', (w) => [wait(w, 101, 180), place(w), wait(w, 181, 260)], null],
+		['nothing left to wait', (w) => [place(w), place(w, `${UID}/1`), wait(w, 101, 200)], null],
+		['no room', (w) => wait(w, 101, 200, { cpus: 1 }), null],
+		['room in another zone', (w) => wait(w, 101, 200, { zone: 'b' }), null],
+		['the team at its limit', (w) => [...others(w), wait(w, 101, 200)], null],
+		['its user called it off', (w) => [w.rules.cancelAsked(UID), wait(w, 101, 200)], null],
+		['it may wait', (w) => [Object.assign(w.rules, { mayWait: () => true }), wait(w, 101, 200)], null],
+		['waiting beside room', (w) => wait(w, 101, 195), 'left_waiting'],
+		['its last task beside room', (w) => [place(w), wait(w, 101, 195)], 'left_waiting'],
 	]
 	for (const [name, play, rule] of cases) {
 		const w = watch()
@@ -101,3 +147,17 @@
 			)
 	}
 })
+
+test('starts after a confirmed cancellation are counted, and what users are told first is news', () => {
+	const w = watch()
+	const news: string[] = []
+	w.rules.news = (_, state) => news.push(state)
+	place(w)
+	cancel(w)
+	w.at(5)
+	place(w, `${UID}/1`)
+	w.rules.told(UID, 200, 'aborted', 'aborted')
+	assert.equal(w.rules.startedCancelled, 1)
+	assert.deepEqual(w.rules.broken, [])
+	assert.deepEqual(news, ['aborted'])
+})
