Refuse submissions that lack a field which may not be null

Cause: six fields were read as optional; the protocol lets only flavours, site and dueS be null or left out. Change: the others must be there. The test that asserted the opposite for gpus and samePlace was wrong; it is replaced by one that leaves out and nulls every field in turn.

--- a/packages/wire/src/submission.ts
+++ b/packages/wire/src/submission.ts
@@ -7,7 +7,8 @@
 const name = Schema.String.check(
 	Schema.isPattern(/^[^\s]{1,120}$/, { expected: 'a name of 1 to 120 characters without spaces' }),
 )
-const flag = Schema.optional(Schema.NullOr(Schema.Boolean))
+/** What may be null may be left out (protocol); nothing else may. */
+const orNull = <S extends Schema.Top>(what: S) => Schema.optional(Schema.NullOr(what))
 
 const Submission = Schema.Struct({
 	uid: Schema.String.check(Schema.isPattern(UID, { expected: UID_FORM })),
@@ -22,19 +23,19 @@
 		),
 	),
 	cpus: amount,
-	gpus: Schema.optional(Schema.NullOr(amount)),
+	gpus: amount,
 	ramGb: amount,
 	bundle: name,
 	imageGb: amount,
-	flavours: Schema.optional(Schema.NullOr(Schema.Array(name))),
-	site: Schema.optional(Schema.NullOr(name)),
-	samePlace: flag,
-	apart: flag,
-	reclaimable: flag,
+	flavours: orNull(Schema.Array(name)),
+	site: orNull(name),
+	samePlace: Schema.Boolean,
+	apart: Schema.Boolean,
+	reclaimable: Schema.Boolean,
 	expectedS: amount,
-	snapshotEveryS: Schema.optional(Schema.NullOr(amount)),
-	snapshotS: Schema.optional(Schema.NullOr(amount)),
-	dueS: Schema.optional(Schema.NullOr(amount)),
+	snapshotEveryS: amount,
+	snapshotS: amount,
+	dueS: orNull(amount),
 })
 
 const decodeSubmission = Schema.decodeUnknownResult(Submission)
@@ -70,18 +71,18 @@
 		priority: w.urgency,
 		tasks: w.pieces,
 		cpus: w.cpus,
-		gpus: w.gpus ?? 0,
+		gpus: w.gpus,
 		ramGb: w.ramGb,
 		types: w.flavours ?? null,
 		zone: w.site ?? null,
-		samePlace: w.samePlace ?? false,
-		apart: w.apart ?? false,
-		spot: w.reclaimable ?? false,
+		samePlace: w.samePlace,
+		apart: w.apart,
+		spot: w.reclaimable,
 		image: w.bundle,
 		imageGb: w.imageGb,
 		expectedS: w.expectedS,
-		checkpointS: w.snapshotEveryS ?? 0,
-		saveS: w.snapshotS ?? 0,
+		checkpointS: w.snapshotEveryS,
+		saveS: w.snapshotS,
 		dueS: w.dueS ?? null,
 	}
 }
--- a/tests/wire.test.ts
+++ b/tests/wire.test.ts
@@ -17,10 +17,17 @@
 test('submissions', () => {
 	const read = readSubmission(decode(encode(body({ future: 1 }))))
 	assert.deepEqual(read, sweep('job-000412'), 'unknown fields are ignored')
-	const without = body()
-	for (const field of ['flavours', 'site', 'dueS', 'gpus', 'samePlace'])
-		Reflect.deleteProperty(without, field)
-	assert.deepEqual(readSubmission(without), sweep('job-000412'), 'what may be null may be left out')
+	// What may be null may be left out; every other field has to be there.
+	const nullable = ['flavours', 'site', 'dueS']
+	for (const field of Object.keys(body()))
+		for (const [how, b] of [
+			['left out', Object.fromEntries(Object.entries(body()).filter(([k]) => k !== field))],
+			['null', body({ [field]: null })],
+		] as const) {
+			const read = readSubmission(b)
+			if (nullable.includes(field)) assert.deepEqual(read, sweep('job-000412'), `${field} ${how}`)
+			else assert.equal(read instanceof Malformed && read.field, field, `${field} ${how}`)
+		}
 	// What a user reads: the field as the protocol names it, and what it must be, in words.
 	const bad: [name: string, body: unknown, says: string][] = [
 		['not a map', [1], 'the body is not a map'],
