--- a/packages/cluster/src/jobs.ts
+++ b/packages/cluster/src/jobs.ts
@@ -179,10 +179,12 @@
 		for (const [key, e] of this.mirror.under('done/')) if (!this.open.has(key.split('/')[1])) yield [key, e]
 		for (const [key, e] of this.mirror.under('job/'))
 			if (this.over.has(key.slice('job/'.length))) yield [key, e]
-		for (const [key, e] of this.mirror.under('intake/')) {
-			const records = asIntake(e.data) ?? []
-			if (records.every((r) => !this.accepted.has(r.spec!.uid))) yield [key, e]
-		}
+		for (const [key, e] of this.mirror.under('intake/')) if (this.isSpent(e.data)) yield [key, e]
+	}
+
+	/** Does a record of accepted jobs say nothing any more? */
+	isSpent(data: unknown): boolean {
+		return (asIntake(data) ?? []).every((r) => !this.accepted.has(r.spec!.uid))
 	}
 
 	/**
--- a/packages/cluster/src/writes.ts
+++ b/packages/cluster/src/writes.ts
@@ -18,10 +18,10 @@
  */
 export const thisTurn = (known: Known): Condition => at(known, HISTORY)
 
-/** Jobs accepted together, under a key that nobody used before. */
+/** Jobs accepted together, under a key that nobody used before or whose record says nothing any more. */
 export const acceptance = (known: Known, key: string, jobs: readonly JobRecord[]): Content => ({
 	conditions: [
-		{ key: ROOT + key, stamp: 0 },
+		at(known, key),
 		thisTurn(known),
 		...jobs.map((r) => ({ key: ROOT + jobKey(r.spec!.uid), stamp: 0 })),
 	],
--- a/packages/server/src/intake.ts
+++ b/packages/server/src/intake.ts
@@ -13,6 +13,9 @@
 	/** certainly not accepted */
 	| 'refused'
 
+/** How many of our records are looked at for one that says nothing any more, for each that is written. */
+const LOOKS = 4
+
 interface Waiting {
 	record: JobRecord & { spec: JobSpec }
 	bytes: number
@@ -32,6 +35,8 @@
 	private waiting: Waiting[] = []
 	private write: Write | null = null
 	private counter = 0
+	/** our records, the oldest first, and the epochs of their last changes */
+	private readonly written: { key: string; epoch: number }[] = []
 
 	constructor(private readonly s: Core) {}
 
@@ -123,21 +128,43 @@
 		return out
 	}
 
+	/**
+	 * The key of the next record: that of one of ours which says nothing any more, else a new one. A record of its own costs a
+	 * second change as it is removed; at four jobs a second, which come one by one, that used up the rate (incident 25).
+	 */
+	private key(): string {
+		const { mirror, jobs, members } = this.s
+		for (let looks = Math.min(LOOKS, this.written.length); looks > 0; looks--) {
+			const one = this.written.shift()!
+			const entry = mirror.get(one.key)
+			// What we know of it may be older than what we wrote last.
+			const seen = mirror.epoch >= one.epoch
+			if (seen && entry !== undefined && jobs.isSpent(entry.data)) return one.key
+			// Removed by whoever tidies up, it is left alone.
+			if (!seen || entry !== undefined) this.written.push(one)
+		}
+		return `intake/${members.life}-${++this.counter}`
+	}
+
 	private flush(): void {
 		if (this.write !== null || !this.waiting.some((w) => this.proven(w))) return
 		let sent: Waiting[] = []
-		const key = `intake/${this.s.members.life}-${++this.counter}`
+		let key = ''
 		this.write = {
 			urgency: Urgency.user,
 			until: Math.min(...this.waiting.map((w) => w.until)),
 			build: (): Content | null => {
 				sent = this.batch()
 				const jobs = sent.map((w) => w.record)
+				if (key === '') key = this.key()
 				return jobs.length === 0 ? null : acceptance(this.s.mirror, key, jobs)
 			},
 			done: (result) => {
-				if (result.kind === 'ok') this.accepted(sent, result.epoch)
-				else if (result.kind === 'unknown') this.settle(new Set(sent), 'unclear')
+				// What may yet be applied is left alone: who removes it sees that it is there.
+				if (result.kind === 'ok') {
+					this.written.push({ key, epoch: result.epoch })
+					this.accepted(sent, result.epoch)
+				} else if (result.kind === 'unknown') this.settle(new Set(sent), 'unclear')
 				// One of them is known already: it leaves, the others go again.
 				else if (result.kind === 'conflict')
 					return this.s.refresh(() => {
@@ -153,14 +180,16 @@
 
 	/**
 	 * Durable; told when we know all that came before. A user's retry may have met another controller meanwhile, and the
-	 * job be over by now: records of acceptances and of final states have no key in common that would say so.
+	 * job be over by now: records of acceptances and of final states have no key in common that would say so. Accepted by
+	 * an earlier record, it was known already.
 	 */
 	private accepted(some: readonly Waiting[], epoch: number): void {
 		this.waiting = this.waiting.filter((w) => !some.includes(w))
 		this.s.whenSeen(epoch, (ok) => {
 			for (const w of some) {
-				const over = this.s.jobs.get(w.record.spec.uid)?.record.final !== undefined
-				w.done(ok && !over ? 'accepted' : 'unclear')
+				const known = this.s.jobs.get(w.record.spec.uid)?.record
+				const ours = known?.final === undefined && known?.at === w.record.at
+				w.done(ok && ours ? 'accepted' : 'unclear')
 			}
 		})
 	}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,4 +1,5 @@
 export * from './balancer.js'
+export * from './bucket.js'
 export * from './clock.js'
 export * from './crowd.js'
 export * from './explore.js'
--- a/packages/testkit/src/standins.ts
+++ b/packages/testkit/src/standins.ts
@@ -1,4 +1,5 @@
 import { type Change, type Condition, isMap, type MachineType } from '@heathroad/wire'
+import type { Bucket } from './bucket.js'
 import type { Clock } from './clock.js'
 import type { Rules } from './rules.js'
 
@@ -25,8 +26,11 @@
 	down = false
 	/** clients that alone get a 503, while the others are served and their grants run out; open watches wait */
 	readonly refuses = new Set<number>()
-	/** requests of all kinds so far */
+	/** what it takes a second of requests and of sets and deletions; null: of any number */
+	limits: { requests: Bucket; changes: Bucket } | null = null
+	/** requests of all kinds so far, and those that were refused as too many */
 	requests = 0
+	refused = 0
 	/** called with every key as it becomes durable */
 	durable: (key: string, data: unknown) => void = () => {}
 	/** called with every key that is set or deleted */
@@ -114,6 +118,11 @@
 	): void {
 		const route = path.split('?')[0]
 		this.requests++
+		const changes = route === '/txn' && isMap(body) && Array.isArray(body.apply) ? body.apply.length : 0
+		if (this.limits !== null && !(this.limits.requests.take(1) && this.limits.changes.take(changes))) {
+			this.refused++
+			return reply({ status: 429, body: {} })
+		}
 		if (route === '/watch') {
 			const until = this.clock.nowMs + Number(query(path).get('blockMs') ?? 0)
 			return this.watch(path, until, reply, client)
