--- a/tests/meetings.test.ts
+++ b/tests/meetings.test.ts
@@ -127,6 +127,260 @@
 		assert.ok(world.rules.started >= tasks * 0.7, `${world.rules.started} starts of ${tasks} tasks`)
 	})
 
+/** Two teams that always want more than their limits; every third job is long, and called off if nothing else is. */
+const limited: Day['jobs'] = Array.from({ length: 36 }, (_, i) => {
+	const atS = 1 + i * 4
+	const long = i % 3 === 2
+	const team = i % 2 === 0 ? 'core' : 'guest'
+	const spec = sweep(`job-${String(i).padStart(6, '0')}`, {
+		team,
+		jobClass: team,
+		tasks: 2 + (i % 3),
+		cpus: 2,
+		expectedS: long ? 300 : 6 + ((i * 7) % 20),
+	})
+	return { atS, spec, ...(long ? { cancelAtS: atS + 30 + ((i * 5) % 20) } : {}) }
+})
+
+/** More than there is room for, urgent and not; a third bound to one zone, some of them wide. */
+const crowded: Day['jobs'] = Array.from({ length: 40 }, (_, i) => ({
+	atS: 1 + i * 2,
+	spec: sweep(`job-${String(i).padStart(6, '0')}`, {
+		tasks: i % 7 === 3 ? 60 : 3 + (i % 6),
+		expectedS: 8 + ((i * 11) % 25),
+		priority: i % 4 === 0 ? 'urgent' : i % 4 === 1 ? 'idle' : 'normal',
+		zone: i % 3 === 0 ? 'b' : null,
+		spot: i % 5 !== 0,
+	}),
+}))
+
+const later = (forS: number): Trouble => ({ atS: 10, kind: 'closeLooks', forS, share: 1 })
+const calledOff = (atS: number, count: number, hangS = 0): Trouble => ({
+	atS,
+	kind: 'cancelNow',
+	count,
+	hangS,
+})
+const drain = (atS: number, who: number[], forS: number): Trouble => ({ atS, kind: 'drain', who, forS })
+
+/** As `meetings`, each on jobs and in a world of its own; `least`: tasks that start at the least, of those there are. */
+const further: { name: string; day: Partial<Day>; least?: number }[] = [
+	{
+		name: 'users ask at all controllers within milliseconds and submit again, right after each thing they are told',
+		day: { troubles: [later(200), crash(50, [0], 2), drain(80, [1], 1), cut(110, 2, 15)] },
+	},
+	{
+		name: 'transactions are carried out at once and only their answers are lost, while others read what they wrote',
+		day: {
+			troubles: [later(200), { atS: 10, kind: 'lostAnswers', share: 0.5, forS: 150 }, crash(70, [1], 1)],
+		},
+	},
+	{
+		name: 'a cancellation, a question and a repeated submission reach others as the last task ends, nothing else happens',
+		day: { troubles: [{ atS: 1, kind: 'cancelAtEnd', share: 1, forS: 250 }] },
+	},
+	{
+		name: 'the same, while answers of transactions are lost and users look closely',
+		day: {
+			troubles: [
+				{ atS: 1, kind: 'cancelAtEnd', share: 0.7, forS: 250 },
+				{ atS: 5, kind: 'lostAnswers', share: 0.4, forS: 150 },
+				later(200),
+			],
+		},
+	},
+	{
+		name: 'jobs are called off in the seconds in which the work of a controller changes hands, and comes back',
+		day: {
+			troubles: [30, 62, 95, 128].flatMap((atS, i) => [
+				drain(atS, [i % 3], 0.3),
+				...[0.1, 0.4, 0.9, 1.6, 3].map((s) => calledOff(atS + s, 2)),
+			]),
+		},
+	},
+	{
+		name: 'jobs move between parts as they are called off',
+		day: {
+			troubles: [
+				{ atS: 40, kind: 'zoneCut', zone: 'a', who: [0], forS: 40 },
+				...[41, 44, 47, 50, 53, 56, 80, 81, 82].map((atS) => calledOff(atS, 1)),
+				{ atS: 40, kind: 'closeLooks', share: 1, forS: 60 },
+			],
+		},
+	},
+	{
+		name: 'every team is at its limit, machines are cut off or hang with jobs that are called off, and leaders change',
+		day: {
+			jobs: limited,
+			untilS: 600,
+			limits: new Map([
+				['core', 12],
+				['guest', 8],
+			]),
+			guarantees: new Map([['guest', 4]]),
+			troubles: [
+				{ atS: 40, kind: 'machinesCut', forS: 14 },
+				calledOff(41, 4, 8),
+				crash(42, [0, 1], 1),
+				{ atS: 75, kind: 'machineHang', share: 0.6, forS: 9 },
+				calledOff(76, 4),
+				crash(77, [0, 1, 2], 0.3),
+				{ atS: 110, kind: 'machineDeaf', share: 0.6, forS: 20 },
+				calledOff(111, 4, 6),
+				drain(112, [0], 0.5),
+				crash(118, [1, 2], 1),
+			],
+		},
+	},
+	{
+		name: 'new machines are up within two seconds and get work at once while writes lag, and leaders end',
+		day: {
+			up: 0,
+			troubles: [
+				{ atS: 1, kind: 'boots', factor: 0.1, forS: 160 },
+				{ atS: 5, kind: 'lateWrites', share: 0.4, forS: 130 },
+				{ atS: 6, kind: 'stateSlow', forS: 60 },
+				...[14, 22, 31, 43, 58, 74, 90, 107].map((atS, i) => crash(atS, [i % 3], 0.4)),
+				crash(125, [0, 1, 2], 0.5),
+			],
+		},
+	},
+	{
+		name: 'old reports reach every controller just as a new leader begins',
+		day: {
+			troubles: [
+				{ atS: 10, kind: 'heldReports', share: 0.5, forS: 140 },
+				...[30, 50, 72, 95, 121].map((atS, i) => crash(atS, [i % 3], 0.5)),
+				{ atS: 60, kind: 'machinesCut', forS: 14 },
+				crash(140, [0, 1, 2], 0.3),
+			],
+		},
+	},
+	{
+		name: 'machines reach no controller while direct commands reach them, jobs on them are called off, leaders end',
+		day: {
+			troubles: [
+				{ atS: 30, kind: 'machineMute', share: 0.7, forS: 25 },
+				calledOff(31, 5),
+				crash(33, [0], 0.5),
+				{ atS: 80, kind: 'machineMute', share: 1, forS: 14 },
+				calledOff(82, 5),
+				{ atS: 120, kind: 'machineMute', share: 0.5, forS: 40 },
+				crash(121, [0, 1, 2], 1),
+				calledOff(123, 5),
+			],
+		},
+	},
+	{
+		name: 'leaders change ten times in two minutes, also inside an outage',
+		day: {
+			troubles: [
+				...Array.from({ length: 10 }, (_, i) => crash(30 + i * 12, [i % 3], 1)),
+				{ atS: 70, kind: 'stateDown', forS: 22 },
+				calledOff(65, 3),
+				calledOff(94, 3),
+				later(150),
+			],
+		},
+	},
+	{
+		name: 'all controllers are away for longer than a lease, and a zone with one and its workers is cut off for longer',
+		day: {
+			troubles: [
+				crash(35, [0, 1, 2], 16),
+				{ atS: 80, kind: 'zoneCut', zone: 'a', who: [0], forS: 28 },
+				calledOff(82, 3),
+				crash(90, [1], 0.5),
+				{ atS: 130, kind: 'zoneCut', zone: 'b', who: [2], forS: 16 },
+			],
+		},
+	},
+	{
+		name: 'there is more work than room over slow links, and jobs bound to one zone lose machines',
+		day: {
+			jobs: crowded,
+			untilS: 700,
+			up: 0,
+			capacity: 3,
+			troubles: [
+				{ atS: 10, kind: 'slowLinks', factor: 1.5, forS: 80 },
+				...[30, 34, 38, 42, 60, 64, 68].map((atS): Trouble => ({ atS, kind: 'machineDies' })),
+				crash(50, [1], 1),
+			],
+		},
+		least: 1,
+	},
+	{
+		name: 'users err all day: they repeat, cancel what is over, send what can never run or lacks a field',
+		day: { troubles: [{ atS: 5, kind: 'oddRequests', forS: 200 }, crash(60, [0, 1], 1), later(100)] },
+	},
+]
+
+for (const [i, { name, day, least }] of further.entries())
+	test(`a meeting: ${name}`, async () => {
+		const of = day.jobs ?? jobs
+		const world = new World({
+			seed: i + 1,
+			untilS: 340,
+			jobs: of,
+			troubles: [],
+			history: i % 2 === 0 ? undefined : null,
+			drift: true,
+			capacity: 5,
+			up: 5,
+			stateLimits: true,
+			...day,
+		})
+		await world.play()
+		assert.deepEqual(world.rules.broken, [])
+		assert.deepEqual(world.rules.failures(), [])
+		assert.deepEqual(world.rules.unfinished(), [], 'every job ends')
+		const tasks = of.reduce((n, j) => n + j.spec.tasks, 0)
+		assert.ok(
+			world.rules.started >= tasks * (least ?? 0.6),
+			`${world.rules.started} starts of ${tasks} tasks`,
+		)
+	})
+
+test('one-task jobs, four a second for minutes, a quarter called off: within the change rate, and nothing piles up', async () => {
+	const forS = 150
+	const ones: Day['jobs'] = Array.from({ length: 4 * forS }, (_, i) => ({
+		atS: 15 + i / 4,
+		spec: sweep(`job-${String((i * 7919 + 13) % 1_000_003).padStart(6, '0')}`, { tasks: 1, expectedS: 6 }),
+		...(i % 4 === 1 ? { cancelAtS: 15 + i / 4 + 0.5 + ((i * 13) % 9) } : {}),
+	}))
+	const world = new World({
+		seed: 3,
+		untilS: 260,
+		jobs: ones,
+		troubles: [],
+		capacity: 12,
+		up: 4,
+		stateLimits: true,
+	})
+	let changes = 0
+	world.state.changed = (key) => {
+		if (!key.startsWith('heathroad-past/')) changes++
+	}
+	const records: number[] = []
+	let longest = 0
+	const asked = new Map(ones.map((j) => [j.spec.uid, j.atS * 1000]))
+	world.rules.news = (uid, state) => {
+		if (state === 'pending') longest = Math.max(longest, world.clock.nowMs - asked.get(uid)!)
+	}
+	for (let s = 45; s < 15 + forS; s += 5)
+		world.clock.after(s * 1000, () => records.push(world.state.count('heathroad/intake/')))
+	await world.play()
+	assert.deepEqual(world.rules.broken, [])
+	assert.deepEqual(world.rules.unfinished(), [])
+	assert.ok(changes / ones.length < 3.2, `${changes} changes for ${ones.length} jobs`)
+	assert.ok(world.state.refused < 20, `${world.state.refused} requests too many`)
+	assert.ok(longest < 2000, `accepted after ${longest} ms`)
+	// As many records of acceptances at the end as when the load was young.
+	const [early, late] = [records.slice(0, 5), records.slice(-5)].map((some) => Math.max(...some))
+	assert.ok(late <= early * 1.3, `records of acceptances: ${records}`)
+})
+
 test('any troubles that meet', async () => {
 	const world = new World(anyMeetingDay(1))
 	await world.play()
