Judge repeats of known jobs: they are answered with 200

Cause: two controllers that accepted one job in turn both said 201; the checker did not mind. Change: a 201 for a job that its user was told is accepted is a fault; planted and found.

--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -273,6 +273,7 @@
 		}
 		if (status === 404 && known !== null) return this.say('forgotten', uid)
 		if (status !== 200 && status !== 201) return
+		if (status === 201 && known !== null) this.say('accepted_again', `${uid} was ${known}`)
 		if ((known === 'done' || known === 'aborted') && state !== known)
 			return this.say('went_back', `${uid} was ${known}, now ${state}`)
 		if (state === 'aborted' && !job.cancelAsked) this.say('went_back', `${uid} is cancelled, nobody asked`)
--- a/tests/rules.test.ts
+++ b/tests/rules.test.ts
@@ -79,6 +79,8 @@
 		],
 		['cancelled, nobody asked', (w) => w.rules.told(UID, 200, 'aborted', 'pending'), 'went_back'],
 		['an older answer', (w) => [cancel(w), w.rules.told(UID, 200, 'running', 'aborted')], 'went_back'],
+		['known already', (w) => w.rules.told(UID, 200, 'pending', 'pending'), null],
+		['accepted as if it were new', (w) => w.rules.told(UID, 201, 'pending', 'pending'), 'accepted_again'],
 		['done tasks counted up', (w) => [finish(w, 0), count(w, 1, 0), finish(w, 1), count(w, 2, 1)], null],
 		['done tasks counted down', (w) => [finish(w, 0), count(w, 1, 0), count(w, 0, 1)], 'went_back'],
 		['more than were done', (w) => [finish(w, 0), count(w, 2, 0)], 'not_done'],
