--- a/tests/meetings.test.ts
+++ b/tests/meetings.test.ts
@@ -225,6 +225,8 @@
 		day: {
 			jobs: ones,
 			capacity: 10,
+			// On pages, which outcomes and cancellations share.
+			history: undefined,
 			troubles: [
 				{ atS: 5, kind: 'cancelAtEnd', share: 0.6, forS: 100 },
 				{ atS: 5, kind: 'stateSlow', forS: 100 },
