--- a/packages/server/src/users.ts
+++ b/packages/server/src/users.ts
@@ -121,8 +121,7 @@
 			Effect.flatMap((seen) => {
 				const record = this.record(uid)
 				if (seen.status !== 200 || record === null || record.final !== undefined) return Effect.succeed(seen)
-				const done = (seen.body as JobAnswer).done ?? 0
-				return this.cancel(uid, record, done).pipe(
+				return this.cancel(uid, record).pipe(
 					Effect.flatMap((result) => {
 						const now = this.record(uid)
 						if (now?.final !== undefined) return Effect.succeed(this.answer(uid, now))
@@ -135,10 +134,10 @@
 	}
 
 	/** What makes a cancellation durable, from what is known when its turn comes; null: the job is over. */
-	private cancellation(uid: string, record: JobRecord, done: number): Content | null {
+	private cancellation(uid: string, record: JobRecord): Content | null {
 		const known = this.s.jobs.get(uid)
 		if (known === undefined || known.record.final !== undefined) return null
-		const over = ended(uid, 'aborted', record.spec, Math.max(done, this.recordedDone(uid, known.record)))
+		const over = ended(uid, 'aborted', record.spec, this.recordedDone(uid, known.record))
 		const { mirror, config } = this.s
 		const { tasks, need } = over
 		const data: JobRecord = { part: record.part, final: 'aborted', tasks, need, count: over.done }
@@ -153,13 +152,13 @@
 		}
 	}
 
-	private cancel(uid: string, record: JobRecord, doneTasks: number): Effect.Effect<WriteResult> {
+	private cancel(uid: string, record: JobRecord): Effect.Effect<WriteResult> {
 		return Effect.callback<WriteResult>((resume) => {
 			let sent: Content | null = null
 			this.s.writer.submit({
 				urgency: Urgency.user,
 				build: () => {
-					sent = this.cancellation(uid, record, doneTasks)
+					sent = this.cancellation(uid, record)
 					return sent
 				},
 				until: this.s.now() + 3000,
