Share chances, holds and draws among the stand-ins; let the checker follow what is on machines

Change: Chances, draws and World.hold serve all; a task leaves the checker's book with its last machine. No assertion changed.

--- a/packages/testkit/src/crowd.ts
+++ b/packages/testkit/src/crowd.ts
@@ -1,4 +1,5 @@
 import { isMap, type JobSpec, writeSubmission } from '@heathroad/wire'
+import { Chances } from './chances.js'
 import type { Clock } from './clock.js'
 import type { Rules } from './rules.js'
 import type { Response } from './standins.js'
@@ -53,24 +54,20 @@
 	/** how much oftener than usual they ask */
 	eagerness = 1
 	/** shares of jobs called off as their last task ends, and of news that are looked at closely */
-	readonly shares = { cancelAtEnd: 0, closeLooks: 0 }
+	readonly chances: Chances<'cancelAtEnd' | 'closeLooks'>
 	private errs = false
 	private odd = 0
 	private readonly specs = new Map<string, JobSpec>()
 	private readonly cancelling = new Set<string>()
 
 	constructor(private readonly w: Around) {
+		this.chances = new Chances(w.clock)
 		w.rules.news = (uid, state) => this.lookClosely(uid, state)
 		w.rules.ended = (uid) => {
-			if (this.happens('cancelAtEnd')) this.meetTheEnd(uid)
+			if (this.chances.happens('cancelAtEnd')) this.meetTheEnd(uid)
 		}
 	}
 
-	/** Chance is asked only while there is something to decide: days without it stay as they are. */
-	private happens(kind: keyof Crowd['shares']): boolean {
-		return this.shares[kind] > 0 && this.w.clock.random() < this.shares[kind]
-	}
-
 	private ask(
 		uid: string,
 		i: number | null,
@@ -156,7 +153,7 @@
 	/** A user was told something new: asks all controllers within milliseconds, submits again, may call the job off. */
 	private lookClosely(uid: string, state: string): void {
 		const spec = this.specs.get(uid)
-		if (spec === undefined || !this.happens('closeLooks')) return
+		if (spec === undefined || !this.chances.happens('closeLooks')) return
 		const { clock } = this.w
 		const cancels = state !== 'done' && state !== 'aborted' && clock.random() < 0.15
 		for (let round = 0; round < 3; round++)
--- a/packages/testkit/src/gap.ts
+++ b/packages/testkit/src/gap.ts
@@ -1,5 +1,4 @@
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { draws } from './chances.js'
 import { type Day, sweep, type Trouble } from './world.js'
 
 /**
@@ -43,8 +42,7 @@
 /** Such a meeting, with long jobs most of which are cancelled around it. */
 export const gapDay = (seed: number, gap: Partial<Gap> = {}): Day => {
 	const g = { ...MET, ...gap }
-	const generator = xoroshiro128plus(seed)
-	const random = () => uniformFloat64(generator)
+	const { random } = draws(seed)
 	const troubles: Trouble[] = [
 		...g.refused.map(
 			(who, i): Trouble => ({
@@ -86,9 +84,7 @@
 
 /** Such a day with everything about it drawn. */
 export const anyGapDay = (seed: number): Day => {
-	const generator = xoroshiro128plus(seed + 2_000_000)
-	const random = () => uniformFloat64(generator)
-	const one = <T>(of: readonly T[]): T => of[Math.floor(random() * of.length)]
+	const { random, one } = draws(seed + 2_000_000)
 	const controllers = one([3, 3, 5])
 	const all = Array.from({ length: controllers }, (_, i) => i)
 	const refused = all.filter(() => random() < 0.35)
--- a/packages/testkit/src/hunt.ts
+++ b/packages/testkit/src/hunt.ts
@@ -1,5 +1,4 @@
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { draws } from './chances.js'
 import { anyGapDay } from './gap.js'
 import { CHECKED, type CheckedDay, playChecked } from './plugindays.js'
 import { type FakeVersion, PLUGIN } from './plugins.js'
@@ -25,9 +24,7 @@
 
 /** A day of troubles that nobody thought of together: everything about it follows from the seed. */
 export const anyDay = (seed: number): Day => {
-	const generator = xoroshiro128plus(seed)
-	const random = () => uniformFloat64(generator)
-	const one = <T>(of: readonly T[]): T => of[Math.floor(random() * of.length)]
+	const { random, one } = draws(seed)
 	const controllers = one([3, 3, 5])
 	const troubles: Trouble[] = []
 	for (let atS = 15; atS < 160; atS += 3 + random() * 12) {
@@ -110,9 +107,7 @@
 
 /** A day of such meetings, with jobs of few tasks that end far apart, many of them cancelled. */
 export const anyMeetingDay = (seed: number): Day => {
-	const generator = xoroshiro128plus(seed + 3_000_000)
-	const random = () => uniformFloat64(generator)
-	const one = <T>(of: readonly T[]): T => of[Math.floor(random() * of.length)]
+	const { random, one } = draws(seed + 3_000_000)
 	const controllers = one([3, 3, 5])
 	const some = () => {
 		const who = Array.from({ length: controllers }, (_, i) => i).filter(() => random() < 0.35)
@@ -176,9 +171,7 @@
 /** Such a day on which half of the jobs have to pass plug-ins, which change all the time. */
 export const anyCheckedDay = (seed: number): CheckedDay => {
 	const day = anyDay(seed)
-	const generator = xoroshiro128plus(seed + 1_000_000)
-	const random = () => uniformFloat64(generator)
-	const one = <T>(of: readonly T[]): T => of[Math.floor(random() * of.length)]
+	const { random, one } = draws(seed + 1_000_000)
 	const names = ['one', 'two'].slice(0, 1 + Math.floor(random() * 2))
 	let made = 0
 	const version = (): FakeVersion => ({
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,5 +1,6 @@
 export * from './balancer.js'
 export * from './bucket.js'
+export * from './chances.js'
 export * from './clock.js'
 export * from './crowd.js'
 export * from './explore.js'
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -41,7 +41,7 @@
 /** Watches the world, not the service, and writes down every broken rule of the protocol. */
 export class Rules {
 	readonly broken: string[] = []
-	/** task -> machines it is on */
+	/** task -> machines it is on; only tasks that are on one */
 	private readonly on = new Map<string, Set<string>>()
 	private readonly jobs = new Map<string, Watched>()
 	/** from when on all troubles are over */
@@ -172,16 +172,16 @@
 		const limit = this.limits.get(spec.team)
 		if (limit === undefined) return
 		let used = 0
-		for (const [name, machines] of this.on)
-			if (machines.size > 0) {
-				const other = this.jobs.get(name.split('/')[0])
-				if (other?.spec.team === spec.team) used += other.spec.cpus
-			}
+		for (const name of this.on.keys()) {
+			const other = this.jobs.get(name.split('/')[0])
+			if (other?.spec.team === spec.team) used += other.spec.cpus
+		}
 		if (used > limit) this.say('quota', `${spec.team} uses ${used} of ${limit}`)
 	}
 
 	gone(task: string, machine: string): void {
-		this.on.get(task)?.delete(machine)
+		const there = this.on.get(task)
+		if (there?.delete(machine) && there.size === 0) this.on.delete(task)
 	}
 
 	completed(task: string): void {
@@ -194,13 +194,18 @@
 
 	/** Jobs that are accepted, not over and not called off, with their tasks that are on machines. */
 	running(): { spec: JobSpec; machines: string[] }[] {
+		const placed = new Map<string, { n: number; machines: ReadonlySet<string> }[]>()
+		for (const [task, machines] of this.on) {
+			const [uid, n] = task.split('/')
+			const some = placed.get(uid) ?? []
+			some.push({ n: Number(n), machines })
+			placed.set(uid, some)
+		}
 		const out: { spec: JobSpec; machines: string[] }[] = []
 		for (const { spec, told, cancelAsked } of this.jobs.values()) {
 			if (told === null || told === 'done' || told === 'aborted' || cancelAsked) continue
-			const machines = Array.from({ length: spec.tasks }, (_, n) => [
-				...(this.on.get(`${spec.uid}/${n}`) ?? []),
-			])
-			out.push({ spec, machines: machines.flat() })
+			const tasks = (placed.get(spec.uid) ?? []).sort((a, b) => a.n - b.n)
+			out.push({ spec, machines: tasks.flatMap((t) => [...t.machines]) })
 		}
 		return out
 	}
@@ -215,7 +220,7 @@
 		const used = new Map<string, number>()
 		for (const [task, at] of this.on) {
 			const spec = this.jobs.get(task.split('/')[0])?.spec
-			if (spec === undefined || at.size === 0) continue
+			if (spec === undefined) continue
 			used.set(spec.team, (used.get(spec.team) ?? 0) + spec.cpus)
 			for (const id of at) left.set(id, (left.get(id) ?? 0) - spec.cpus)
 		}
@@ -252,7 +257,7 @@
 	check(): void {
 		for (const [task, machines] of this.on) {
 			const job = this.jobs.get(task.split('/')[0])
-			if (machines.size > 0 && job?.told === 'aborted' && this.now() - job.toldAt > this.cancelMs)
+			if (job?.told === 'aborted' && this.now() - job.toldAt > this.cancelMs)
 				this.say('ran_cancelled', `${task} on ${[...machines]}`)
 		}
 	}
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -15,6 +15,7 @@
 import { Effect } from 'effect'
 import { Balancer } from './balancer.js'
 import { Bucket } from './bucket.js'
+import { Chances } from './chances.js'
 import { type Clock, VirtualClock } from './clock.js'
 import { Crowd, type DayJob } from './crowd.js'
 import { type Room, Rules } from './rules.js'
@@ -175,7 +176,7 @@
 	private readonly mute = new Set<string>()
 	/** shares of transactions without an answer that are carried out later or at once, of reports that arrive once more
 	 * later or when a part has a new owner, of messages between controllers and workers that are held up */
-	private readonly shares = { lateWrites: 0, lostAnswers: 0, lateReports: 0, heldReports: 0, heldUp: 0 }
+	private readonly chances: Chances<'lateWrites' | 'lostAnswers' | 'lateReports' | 'heldReports' | 'heldUp'>
 	/** copies of reports that wait for the next owner of any part */
 	private kept: unknown[] = []
 	private stateSlowMs = 0
@@ -190,6 +191,7 @@
 		clock?: Clock,
 	) {
 		this.clock = clock ?? new VirtualClock(day.seed)
+		this.chances = new Chances(this.clock)
 		this.names = Array.from({ length: day.controllers ?? 3 }, (_, i) => `ctl-${i}`)
 		this.nodes = this.names.map(() => null)
 		this.balancer = new Balancer(this.names.length)
@@ -256,9 +258,9 @@
 						if (!this.deaf.has(machine)) reply(r)
 					}
 					this.deliver(['workers', i], { from: null, to: i }, this.life(i), serve, heard, zone)
-					if (this.happens('heldReports')) this.kept.push(body)
+					if (this.chances.happens('heldReports')) this.kept.push(body)
 					// Copies of old reports, whoever lives at the address by then.
-					if (!this.happens('lateReports')) return
+					if (!this.chances.happens('lateReports')) return
 					const again = this.clock.between(2000, this.times.leaseS * 2500)
 					this.clock.after(again, () => void this.face(i, 'POST', path, body), null)
 				},
@@ -281,11 +283,6 @@
 			}
 	}
 
-	/** Chance is asked only while the trouble is there: days without it stay as they are. */
-	private happens(kind: keyof World['shares']): boolean {
-		return this.shares[kind] > 0 && this.clock.random() < this.shares[kind]
-	}
-
 	private life(i: number): () => boolean {
 		const life = this.lives[i]
 		return () => this.nodes[i] !== null && this.lives[i] === life
@@ -323,7 +320,7 @@
 			return who.includes(over[1]) !== there
 		}
 		const cut = () => this.cuts.get(over[1])?.has(over[0]) === true || apart()
-		const held = over[0] === 'workers' && this.happens('heldUp')
+		const held = over[0] === 'workers' && this.chances.happens('heldUp')
 		const late = this.clock.random() < loss ? this.clock.between(1000, 20_000) : 0
 		const slow = over[0] === 'state' ? this.stateSlowMs * this.clock.between(0.5, 1.5) : 0
 		const link = () => (this.linksSlowMs > 0 ? this.linksSlowMs * this.clock.between(0.5, 1.5) : 0)
@@ -358,11 +355,11 @@
 					}
 					const sent = body === undefined ? undefined : decode(encode(body))
 					if (to === 'state:1' && method === 'GET' && this.watchless.has(i)) return
-					if (to === 'state:1' && path === '/txn' && this.happens('lateWrites')) {
+					if (to === 'state:1' && path === '/txn' && this.chances.happens('lateWrites')) {
 						const late = () => this.state.handle(method, path, sent, () => {}, i)
 						return void this.clock.after(this.clock.between(2000, 12_000), late, null)
 					}
-					const lost = to === 'state:1' && path === '/txn' && this.happens('lostAnswers')
+					const lost = to === 'state:1' && path === '/txn' && this.chances.happens('lostAnswers')
 					if (to === 'state:1')
 						this.deliver(
 							['state', i],
@@ -559,6 +556,14 @@
 		)
 	}
 
+	/** These are among those for a while. */
+	private hold<T>(all: Set<T>, some: readonly T[], forMs: number): void {
+		for (const one of some) all.add(one)
+		this.clock.after(forMs, () => {
+			for (const one of some) all.delete(one)
+		})
+	}
+
 	private trouble(t: Trouble): void {
 		const who = t.who ?? [0]
 		const forMs = (t.forS ?? 5) * 1000
@@ -580,21 +585,11 @@
 			this.state.down = true
 			this.clock.after(forMs, () => this.state.recover())
 		} else if (t.kind === 'stateRefuses') {
-			for (const i of who) this.state.refuses.add(i)
-			this.clock.after(forMs, () => {
-				for (const i of who) this.state.refuses.delete(i)
-			})
+			this.hold(this.state.refuses, who, forMs)
 		} else if (t.kind === 'watchLost') {
-			for (const i of who) this.watchless.add(i)
-			this.clock.after(forMs, () => {
-				for (const i of who) this.watchless.delete(i)
-			})
+			this.hold(this.watchless, who, forMs)
 		} else if (t.kind === 'cancelAtEnd' || t.kind === 'closeLooks') {
-			const { kind } = t
-			this.crowd.shares[kind] = t.share ?? 1
-			this.clock.after(forMs, () => {
-				this.crowd.shares[kind] = 0
-			})
+			this.crowd.chances.begin(t.kind, t.share ?? 1, forMs)
 		} else if (t.kind === 'cancelNow') this.crowd.cancelNow(t.count ?? 10, (t.hangS ?? 0) * 1000)
 		else if (t.kind === 'oddRequests') this.crowd.err(forMs)
 		else if (t.kind === 'machineHang') {
@@ -611,18 +606,11 @@
 			t.kind === 'heldReports' ||
 			t.kind === 'heldUp'
 		) {
-			const { kind } = t
-			this.shares[kind] = t.share ?? 0.5
-			this.clock.after(forMs, () => {
-				this.shares[kind] = 0
-			})
+			this.chances.begin(t.kind, t.share ?? 0.5, forMs)
 		} else if (t.kind === 'machineDeaf' || t.kind === 'machineMute') {
 			const all = t.kind === 'machineDeaf' ? this.deaf : this.mute
 			const some = [...this.workers.keys()].filter(() => this.clock.random() < (t.share ?? 0.5))
-			for (const id of some) all.add(id)
-			this.clock.after(forMs, () => {
-				for (const id of some) all.delete(id)
-			})
+			this.hold(all, some, forMs)
 		} else if (t.kind === 'stateSlow') {
 			this.stateSlowMs = 150
 			this.clock.after(forMs, () => {
@@ -655,10 +643,7 @@
 			})
 		} else if (t.kind === 'machinesCut') {
 			const cut = [...this.workers.keys()].filter((_, i) => i % 2 === 0)
-			for (const id of cut) this.silent.add(id)
-			this.clock.after(forMs, () => {
-				for (const id of cut) this.silent.delete(id)
-			})
+			this.hold(this.silent, cut, forMs)
 		} else
 			for (const i of who) {
 				const kinds = t.from === undefined ? ['state', 'cloud', 'workers', 'peers', 'users'] : [t.from].flat()
