Deliver each terminal state of a named job once, and wake streams that began before it was visible

Symptom: a reader by ids could end as complete while a named job had no terminal event, or wait for one without an end. Cause: the hub took every change of a terminal job's records, such as the deletion of its progress, for a new terminal state; the feed counted deliveries instead of jobs. States not yet visible were remembered only while there were streams. Change: the feed holds the ids that are undelivered; the hub remembers states until they are visible.

--- a/packages/events/src/hub.ts
+++ b/packages/events/src/hub.ts
@@ -60,12 +60,13 @@
 
 	/** To be called when a job's records changed. */
 	jobChanged(uid: string): void {
+		const terminal = this.records.terminalStates.get(uid)
+		// Kept even while there are no subscriptions: one that begins before the state is visible is woken by it.
+		if (terminal !== undefined) this.pendingTerminalStates.push(terminal)
 		if (this.subscriptions.isEmpty) return
 		this.changedJobs.add(uid)
-		const terminal = this.records.terminalStates.get(uid)
 		if (terminal === undefined) return
 		for (const subscription of this.subscriptions.ofJob(uid)) subscription.terminalStateRecorded(terminal)
-		this.pendingTerminalStates.push(terminal)
 	}
 
 	/** To be called when the records are visible up to a later revision. */
@@ -199,7 +200,6 @@
 		this.runningTasks.clear()
 		this.changeLogs.clear()
 		this.snapshots.clear()
-		this.pendingTerminalStates = []
 	}
 
 	// ---- what subscriptions read ----
--- a/packages/events/src/selection-feed.ts
+++ b/packages/events/src/selection-feed.ts
@@ -36,8 +36,6 @@
 export interface SelectionFeed {
 	/** ids of the initial snapshot, sorted */
 	readonly initialJobIds: readonly string[]
-	/** whether the initial snapshot includes jobs that are terminal already */
-	readonly snapshotHasTerminalStates: boolean
 	/** every terminal state that could be delivered was */
 	readonly isComplete: boolean
 	/** whether every terminal state after a position can still be delivered */
@@ -48,8 +46,8 @@
 	takeTerminalState(after: LogPosition): TerminalState | null
 	/** id of the next changed job; null: none changed */
 	takeChangedJob(): string | null
-	/** a job of the initial snapshot was delivered in its terminal state */
-	deliveredInSnapshot(): void
+	/** takes a terminal state that belongs to the initial snapshot; false: it is not to be delivered there */
+	takeFromSnapshot(state: TerminalState): boolean
 	/** a terminal state of a selected job was recorded */
 	terminalStateRecorded(state: TerminalState): void
 	/** a selected job changed and is not terminal */
@@ -59,7 +57,6 @@
 /** Feed of a team. The hub keeps its terminal states and changes; the feed keeps a sequence number only. */
 export class TeamFeed implements SelectionFeed {
 	readonly initialJobIds: readonly string[]
-	readonly snapshotHasTerminalStates = false
 	readonly isComplete = false
 	private sequence: number
 
@@ -91,8 +88,10 @@
 		return change.uid
 	}
 
-	/** Not called: the snapshot of a team holds open jobs only. */
-	deliveredInSnapshot(): void {}
+	/** The snapshot of a team holds open jobs only. */
+	takeFromSnapshot(): boolean {
+		return false
+	}
 
 	/** Read from the hub instead. */
 	terminalStateRecorded(): void {}
@@ -104,30 +103,32 @@
 /** Feed of named jobs. It holds their undelivered terminal states and the ids of those that changed. */
 export class NamedJobsFeed implements SelectionFeed {
 	readonly initialJobIds: readonly string[]
-	readonly snapshotHasTerminalStates = true
 	/** undelivered terminal states that follow the initial snapshot, in order */
 	private readonly terminalStates: TerminalState[] = []
 	/** jobs that changed and were not terminal at that time */
 	private readonly changedJobs = new Set<string>()
-	/** jobs whose terminal state was not delivered yet */
-	private undeliveredCount = 0
+	/**
+	 * Jobs whose terminal state was not delivered yet. By id and not as a number: a record of a delivered job may change
+	 * again, and must neither be delivered nor counted twice.
+	 */
+	private readonly undelivered = new Set<string>()
 
 	constructor(
 		private readonly source: SubscriptionSource,
 		uids: readonly string[],
-		start: StreamPosition,
+		private readonly start: StreamPosition,
 	) {
 		this.initialJobIds = [...new Set(uids)].sort()
 		for (const uid of this.initialJobIds) {
 			const terminal = source.terminalState(uid)
 			if (terminal !== undefined && wasDeliveredBefore(start, terminal)) continue
-			this.undeliveredCount++
+			this.undelivered.add(uid)
 			if (terminal !== undefined && !isInSnapshot(start, terminal)) this.terminalStateRecorded(terminal)
 		}
 	}
 
 	get isComplete(): boolean {
-		return this.undeliveredCount === 0
+		return this.undelivered.size === 0
 	}
 
 	/** The records keep the terminal state of a job that is named, however old it is. */
@@ -140,11 +141,13 @@
 	}
 
 	takeTerminalState(): TerminalState | null {
-		const [first] = this.terminalStates
-		if (first === undefined || first.revision > this.source.revision()) return null
-		this.terminalStates.shift()
-		this.undeliveredCount--
-		return first
+		for (;;) {
+			const [first] = this.terminalStates
+			if (first === undefined || first.revision > this.source.revision()) return null
+			this.terminalStates.shift()
+			// Otherwise the snapshot delivered it after it was recorded once more.
+			if (this.undelivered.delete(first.uid)) return first
+		}
 	}
 
 	takeChangedJob(): string | null {
@@ -155,12 +158,13 @@
 		return null
 	}
 
-	deliveredInSnapshot(): void {
-		this.undeliveredCount--
+	takeFromSnapshot(state: TerminalState): boolean {
+		return isInSnapshot(this.start, state) && this.undelivered.delete(state.uid)
 	}
 
-	/** Inserts the state at its position in the order; a state that is in the list already is not added again. */
+	/** Inserts the state at its position in the order, unless it was delivered or is in the list already. */
 	terminalStateRecorded(state: TerminalState): void {
+		if (!this.undelivered.has(state.uid)) return
 		let index = this.terminalStates.length
 		while (index > 0 && comparePositions(this.terminalStates[index - 1], state) > 0) index--
 		if (index > 0 && this.terminalStates[index - 1].uid === state.uid) return
--- a/packages/events/src/subscription.ts
+++ b/packages/events/src/subscription.ts
@@ -140,7 +140,7 @@
 		while (this.nextInitialJob < initialJobIds.length) {
 			const uid = initialJobIds[this.nextInitialJob++]
 			if (uid <= deliveredUpTo) continue
-			const state = this.snapshotState(uid, revision)
+			const state = this.snapshotState(uid)
 			if (state === null) continue
 			this.position = { phase: 'present', revision, uid }
 			return state
@@ -150,13 +150,11 @@
 	}
 
 	/** A job's state in the snapshot; null: it is not part of it. */
-	private snapshotState(uid: string, snapshotRevision: number): JobState | null {
+	private snapshotState(uid: string): JobState | null {
 		const terminal = this.source.terminalState(uid)
 		if (terminal === undefined) return this.source.currentState(uid)
 		// A state that became terminal later is delivered at its position in the order.
-		if (!this.feed.snapshotHasTerminalStates || terminal.revision > snapshotRevision) return null
-		this.feed.deliveredInSnapshot()
-		return toJobState(terminal)
+		return this.feed.takeFromSnapshot(terminal) ? toJobState(terminal) : null
 	}
 
 	private nextTerminalState(): JobState | null {
