--- a/packages/grpc/src/service-records.ts
+++ b/packages/grpc/src/service-records.ts
@@ -6,10 +6,11 @@
 	TerminalStateLog,
 	toTerminalState,
 } from '@heathroad/cluster'
-import type { EventHub, JobRecords, OpenJob } from '@heathroad/events'
+import type { EventHub, JobRecords, OpenJob, Selection } from '@heathroad/events'
 import { type ArchivedJob, jobIdOf } from '@heathroad/history'
 import type { RecordObserver, Service } from '@heathroad/server'
 import { KEY_PREFIX, WritePriority } from '@heathroad/store'
+import { Effect } from 'effect'
 
 /** A shard's new owner has complete numbers of running tasks after so many heartbeat intervals. */
 const HEARTBEATS_AFTER_TAKEOVER = 2
@@ -64,8 +65,28 @@
 		return toTerminalState(uid, terminal.record, terminal.revision) ?? undefined
 	}
 
+	/**
+	 * Reads what a stream needs that is not in memory: archived terminal states of named jobs. To be called after a linearizable read; calls back with false if not everything could be read.
+	 */
+	prepare(selection: Selection, done: (isComplete: boolean) => void): void {
+		const preparation = 'team' in selection ? Effect.succeed(true) : this.loadArchived(selection.uids)
+		Effect.runFork(Effect.map(preparation, done))
+	}
+
+	private loadArchived(uids: readonly string[]): Effect.Effect<boolean> {
+		const { jobs, archive } = this.service
+		const isUnknown = (uid: string) => jobs.get(uid) === undefined && !archive.provesAbsent(uid)
+		const unknownIds = uids.filter(isUnknown)
+		return Effect.forEach(unknownIds, (uid) => archive.lookUp(uid), { concurrency: 'unbounded' }).pipe(
+			Effect.map((results) => {
+				for (const result of results) if (typeof result !== 'string') this.retainArchived(result)
+				return !results.includes('unsure')
+			}),
+		)
+	}
+
 	/** Keeps the terminal state of an archived job that a stream names; the longest kept ones are dropped. */
-	retainArchived(job: ArchivedJob): void {
+	private retainArchived(job: ArchivedJob): void {
 		const uid = jobIdOf(job.ordinal)
 		const { aborted, taskCount, doneCount, revision } = job
 		// Deleted first, so that it becomes the latest in the order of the map.
--- a/packages/grpc/src/watch-calls.ts
+++ b/packages/grpc/src/watch-calls.ts
@@ -5,7 +5,6 @@
 import { EventHub, type Selection, SendScheduler, StreamAdmission } from '@heathroad/events'
 import type { Service } from '@heathroad/server'
 import { JOB_ID_FORMAT, JOB_ID_PATTERN } from '@heathroad/wire'
-import { Effect } from 'effect'
 import type { ServiceRecords } from './service-records.js'
 import { type Failure, failure, refusalFailure } from './status.js'
 import { type WatchCall, WatchStream } from './watch-stream.js'
@@ -109,8 +108,7 @@
 		// Nothing older may be delivered than was delivered before the call, and nothing from before its cursor.
 		this.service.afterLinearizableRead((isFresh) => {
 			if (!isFresh) return this.failUnreadable(stream)
-			if ('team' in selection) return this.subscribe(stream, selection, cursor)
-			this.loadArchived(selection.uids, (isComplete) => {
+			this.records.prepare(selection, (isComplete) => {
 				if (isComplete) this.subscribe(stream, selection, cursor)
 				else this.failUnreadable(stream)
 			})
@@ -180,18 +178,6 @@
 		return ''
 	}
 
-	/** Reads archived terminal states of named jobs before their stream begins; `isComplete`: all could be read. */
-	private loadArchived(uids: readonly string[], done: (isComplete: boolean) => void): void {
-		const { jobs, archive } = this.service
-		const unknownIds = uids.filter((uid) => jobs.get(uid) === undefined && !archive.provesAbsent(uid))
-		const lookups = Effect.forEach(unknownIds, (uid) => archive.lookUp(uid), { concurrency: 'unbounded' })
-		const load = Effect.map(lookups, (results) => {
-			for (const result of results) if (typeof result !== 'string') this.records.retainArchived(result)
-			done(!results.includes('unsure'))
-		})
-		Effect.runFork(load)
-	}
-
 	private failUnreadable(stream: WatchStream): void {
 		stream.fail(failure(status.UNAVAILABLE, 'the state cannot be read now', NOT_READY_RETRY_MS))
 	}
--- a/packages/testkit/src/stream-days.ts
+++ b/packages/testkit/src/stream-days.ts
@@ -119,19 +119,33 @@
 		if (streams === null || streams.hub === null || !streams.node.isHealthy()) return
 		this.opening = true
 		streams.node.afterLinearizableRead((isCurrent) => {
-			this.opening = false
-			if (!isCurrent || streams.ended || streams.hub === null) return
-			this.observer.begun(controller, this.cursor)
-			const opened = streams.hub.subscribe(this.selection, this.cursor, {
-				onEventsAvailable: () => {},
-				onEnd: () => {},
+			if (!isCurrent) {
+				this.opening = false
+				return
+			}
+			streams.records.prepare(this.selection, (isComplete) => {
+				this.opening = false
+				if (isComplete) this.subscribe({ controller, streams })
 			})
-			if (typeof opened === 'string') return this.observer.refused(controller, opened)
-			this.source = { controller, streams }
-			this.subscription = opened
 		})
 	}
 
+	private subscribe(source: { controller: number; streams: ControllerStreams }): void {
+		const { controller, streams } = source
+		if (streams.ended || streams.hub === null) return
+		this.observer.begun(controller, this.cursor)
+		const opened = streams.hub.subscribe(this.selection, this.cursor, {
+			onEventsAvailable: () => {},
+			onEnd: () => {},
+		})
+		if (typeof opened === 'string') {
+			this.observer.refused(controller, opened)
+			return
+		}
+		this.source = source
+		this.subscription = opened
+	}
+
 	private takeEvents(): void {
 		const { source } = this
 		if (source === null) return
