Tell readers of terminal states that a restarted controller left out of memory

Cause: a full read leaves terminal states under jobs' own keys out of memory. Without a record of the format a restarted controller took every unknown job for never accepted, without a look-up; and its log of a team's terminal states, which begins empty, claimed to hold all of them. Archived states were skipped likewise. Change: absence needs a look-up once a full read left states out; left-out states go to the log of terminal states, within its bound; if the archive holds states, the log says from which revision on it is complete, and readers from before begin anew; a re-read keeps the state of a job that is open in memory. The gRPC server observes records before the first read.

--- a/packages/cluster/src/terminal-state-log.ts
+++ b/packages/cluster/src/terminal-state-log.ts
@@ -56,6 +56,9 @@
 	}
 }
 
+/** A position before every state. */
+const BEFORE_ALL: LogPosition = { revision: -1, uid: '' }
+
 /** States above the maximum that are kept until the next trim, as a factor: trimming sorts, so it is done in batches. */
 const TRIM_THRESHOLD = 1.25
 
@@ -88,6 +91,8 @@
 	/** In the order of their arrival here, which is nearly that of their positions. */
 	private readonly retained: TerminalState[] = []
 	private readonly byUid = new Map<string, TerminalState>()
+	/** Position up to which states of any team may never have been added. */
+	private incompleteUpTo: LogPosition = BEFORE_ALL
 
 	/**
 	 * @param maxStates how many states are kept
@@ -101,7 +106,7 @@
 	private teamLog(team: string): TeamLog {
 		const existing = this.teamLogs.get(team)
 		if (existing !== undefined) return existing
-		const created: TeamLog = { states: [], trimmedUpTo: { revision: -1, uid: '' } }
+		const created: TeamLog = { states: [], trimmedUpTo: BEFORE_ALL }
 		this.teamLogs.set(team, created)
 		return created
 	}
@@ -117,6 +122,12 @@
 		if (this.retained.length > this.maxStates * TRIM_THRESHOLD) this.trim()
 	}
 
+	/** States up to and including a revision may be missing here: whoever follows from before it begins anew. */
+	markIncompleteUpTo(revision: number): void {
+		const position = { revision, uid: REVISION_END }
+		if (comparePositions(position, this.incompleteUpTo) > 0) this.incompleteUpTo = position
+	}
+
 	private trim(): void {
 		this.retained.sort(comparePositions)
 		const removed = this.retained.splice(0, this.retained.length - this.maxStates)
@@ -144,6 +155,7 @@
 	}
 
 	retainsAllAfter(team: string, after: LogPosition): boolean {
+		if (comparePositions(this.incompleteUpTo, after) > 0) return false
 		return comparePositions(this.teamLog(team).trimmedUpTo, after) <= 0
 	}
 }
--- a/packages/daemon/src/controller-process.ts
+++ b/packages/daemon/src/controller-process.ts
@@ -53,12 +53,13 @@
 		const { plugins, grpc, metrics } = this.config
 		// Before the first user: a job accepted without its admission checks would never undergo them.
 		if (plugins !== null) this.plugins = await openPlugins(this.service, plugins)
-		await this.service.start()
+		// Before the first full read: what that read leaves out of memory is told to observers only.
 		if (grpc !== null) {
 			const { GrpcServer } = await import('@heathroad/grpc')
 			this.grpc = new GrpcServer(this.service, grpc)
-			await this.grpc.start()
 		}
+		await this.service.start()
+		await this.grpc?.start()
 		if (metrics !== null) {
 			const { serveMetrics } = await import('@heathroad/metrics')
 			this.metrics = await serveMetrics(metrics.listen, {
--- a/packages/grpc/src/service-records.ts
+++ b/packages/grpc/src/service-records.ts
@@ -2,6 +2,7 @@
 import {
 	countRecordedDone,
 	INSTALLATION_KEY,
+	type JobRecord,
 	type TerminalState,
 	TerminalStateLog,
 	toTerminalState,
@@ -24,6 +25,10 @@
 	private readonly incompleteUntil = new Map<number, number>()
 	/** terminal states from the archive, the latest ones that streams asked for */
 	private readonly archivedStates = new Map<string, TerminalState>()
+	/** a full read was not followed by a check yet whether the archive holds states that the log lacks */
+	private mayLackArchivedStates = true
+	/** archival epoch at the latest full read: states that were archived by then are older; null: it is being applied */
+	private epochAtFullRead: number | null = null
 
 	/** `retained`: terminal states that are kept for streams, of all teams together and from the archive. */
 	constructor(
@@ -35,6 +40,11 @@
 			(uid) => this.recordedState(uid) ?? this.archivedStates.get(uid),
 		)
 		for (const uid of service.jobs.knownIds()) this.addTerminalState(uid)
+		// What an earlier full read left out of memory is not known here.
+		if (service.cache.revision >= 0) {
+			this.terminalStates.markIncompleteUpTo(service.cache.revision)
+			this.mayLackArchivedStates = false
+		}
 		service.recordObserver = this
 	}
 
@@ -51,9 +61,23 @@
 	}
 
 	onRevisionAdvanced(): void {
+		this.epochAtFullRead ??= this.service.archive.archivalEpoch()
 		this.hub?.revisionAdvanced()
 	}
 
+	/** The log keeps omitted states too, within its bound: a reader of their team may not have them yet. */
+	onTerminalStateOmitted(uid: string, record: JobRecord, revision: number): void {
+		const state = toTerminalState(uid, record, revision)
+		if (state === null) return
+		this.terminalStates.add(state)
+		if (revision > this.revision()) this.hub?.jobChanged(uid)
+	}
+
+	onFullRead(): void {
+		this.mayLackArchivedStates = true
+		this.epochAtFullRead = null
+	}
+
 	private addTerminalState(uid: string): void {
 		const state = this.recordedState(uid)
 		if (state !== undefined) this.terminalStates.add(state)
@@ -66,16 +90,35 @@
 	}
 
 	/**
-	 * Reads what a stream needs that is not in memory: archived terminal states of named jobs. To be called after a linearizable read; calls back with false if not everything could be read.
+	 * Reads what a stream needs that is not in memory: archived terminal states of named jobs, or whether a team's states
+	 * may be archived. To be called after a linearizable read; calls back with false if not everything could be read.
 	 */
 	prepare(selection: Selection, done: (isComplete: boolean) => void): void {
-		const preparation = 'team' in selection ? Effect.succeed(true) : this.loadArchived(selection.uids)
+		const preparation = 'team' in selection ? this.checkArchive() : this.loadArchived(selection.uids)
 		Effect.runFork(Effect.map(preparation, done))
 	}
 
+	/**
+	 * After a full read the log lacks the states that were archived before. If there are any, streams cannot resume from
+	 * before the archival epoch of that read.
+	 */
+	private checkArchive(): Effect.Effect<boolean> {
+		const { archive } = this.service
+		const epoch = this.epochAtFullRead
+		if (!this.mayLackArchivedStates) return Effect.succeed(true)
+		if (epoch === null) return Effect.succeed(false)
+		return Effect.map(archive.holdsStates(), (holdsStates) => {
+			if (holdsStates === null || this.epochAtFullRead !== epoch) return false
+			if (holdsStates) this.terminalStates.markIncompleteUpTo(epoch - 1)
+			this.mayLackArchivedStates = false
+			return true
+		})
+	}
+
 	private loadArchived(uids: readonly string[]): Effect.Effect<boolean> {
 		const { jobs, archive } = this.service
-		const isUnknown = (uid: string) => jobs.get(uid) === undefined && !archive.provesAbsent(uid)
+		const isUnknown = (uid: string) =>
+			jobs.get(uid) === undefined && this.terminalStates.get(uid) === undefined && !archive.provesAbsent(uid)
 		const unknownIds = uids.filter(isUnknown)
 		return Effect.forEach(unknownIds, (uid) => archive.lookUp(uid), { concurrency: 'unbounded' }).pipe(
 			Effect.map((results) => {
--- a/packages/history/src/archive-reader.ts
+++ b/packages/history/src/archive-reader.ts
@@ -2,6 +2,7 @@
 
 import type { RequestPacer, StoreClient } from '@heathroad/store'
 import { Effect } from 'effect'
+import { ARCHIVE_PREFIX } from './archive-keys.js'
 import type { ArchivePage } from './archive-page.js'
 import type { ArchivedJob } from './archived-job.js'
 import {
@@ -52,9 +53,9 @@
 	private minFirstLevelRevision = NO_REVISION
 
 	constructor(
-		client: Pick<StoreClient, 'list'>,
+		private readonly client: Pick<StoreClient, 'list'>,
 		private readonly searchScope: () => SearchScope,
-		pacer: RequestPacer,
+		private readonly pacer: RequestPacer,
 		private readonly limits: ArchiveReaderLimits,
 		private readonly onFailure: (cause: unknown) => void = () => {},
 	) {
@@ -126,6 +127,15 @@
 		})
 	}
 
+	/** Whether there are any archived states, read from the state service; null: that could not be read. */
+	holdsStates(): Effect.Effect<boolean | null> {
+		if (!this.searchScope().levels) return Effect.succeed(false)
+		const read = Effect.sleep(this.pacer.reserveDelayMs()).pipe(
+			Effect.andThen(Effect.suspend(() => this.client.list(ARCHIVE_PREFIX, null, 1))),
+		)
+		return Effect.match(read, { onFailure: () => null, onSuccess: ({ entries }) => entries.length > 0 })
+	}
+
 	/** These jobs left memory with the change of this revision: pages read earlier may lack them. */
 	onJobsLeftMemory(uids: Iterable<string>, revision: number): void {
 		this.minFirstLevelRevision = Math.max(this.minFirstLevelRevision, revision)
--- a/packages/server/src/archival-controller.ts
+++ b/packages/server/src/archival-controller.ts
@@ -41,7 +41,7 @@
 		const { limits, history } = context.config
 		const settings = history ?? defaultHistorySettings
 		const lookupReadsPerS = limits.readsPerS / READS_PER_LOOKUP_READ
-		this.retention = new TerminalStateRetention(context)
+		this.retention = new TerminalStateRetention(context, ports.onTerminalStateOmitted)
 		this.writer = new ArchivalWriter(context, ports, settings.writeRateShare)
 		this.loop = new ArchivalLoop(context, client, ports, this.writer, settings)
 		this.migration = new RecordMigration(context, client, ports, this.writer)
@@ -68,8 +68,8 @@
 	}
 
 	/** Tells whether a full read keeps a key. */
-	retains(key: string, data: unknown): boolean {
-		return this.retention.retains(key, data)
+	retains(key: string, data: unknown, modRevision: number): boolean {
+		return this.retention.retains(key, data, modRevision)
 	}
 
 	/** The record of the format and the archival epoch changed. */
@@ -104,7 +104,16 @@
 	}
 
 	provesAbsent(uid: string): boolean {
-		return historyRecord(this.context) === null || this.reader.provesAbsent(uid)
+		// Without a record of the format nothing is archived, but a full read may have left out terminal states.
+		const isAllInMemory = historyRecord(this.context) === null && !this.retention.hasOmittedStates
+		return isAllInMemory || this.reader.provesAbsent(uid)
+	}
+
+	holdsStates(): Effect.Effect<boolean | null> {
+		return this.reader.holdsStates().pipe(
+			Effect.timeoutOption(USER_ANSWER_TIMEOUT_MS),
+			Effect.map((found) => (found._tag === 'Some' ? found.value : null)),
+		)
 	}
 
 	/** The regular step of archival; does nothing while the state service is out of reach. */
--- a/packages/server/src/archival-writer.ts
+++ b/packages/server/src/archival-writer.ts
@@ -1,4 +1,5 @@
 /** What archival and the migration of the first format share: paced writes, and who may make them. */
+import type { JobRecord } from '@heathroad/cluster'
 import type { LogEvent } from '@heathroad/logging'
 import { type TransactionContent, WritePriority, type WriteResult } from '@heathroad/store'
 import { Cause, Effect } from 'effect'
@@ -10,6 +11,8 @@
 	ownedShards(): Iterable<number>
 	/** Returns the jobs of which attempts may be on machines of a shard; null: not known. */
 	jobsOnMachines(shardId: number): Set<string> | null
+	/** A full read leaves a terminal state out of memory; `revision`: of the change that made it durable. */
+	onTerminalStateOmitted(uid: string, record: JobRecord, revision: number): void
 	/** The records have a format that this program does not know. */
 	onUnsupportedFormat(format: number): void
 }
--- a/packages/server/src/controller-context.ts
+++ b/packages/server/src/controller-context.ts
@@ -21,6 +21,8 @@
 	provesAbsent(uid: string): boolean
 	/** Returns the revision of the latest archival epoch; 0: nothing is archived. */
 	archivalEpoch(): number
+	/** Tells whether there are archived terminal states; null: that could not be read. */
+	holdsStates(): Effect.Effect<boolean | null>
 }
 
 /** A waiting job that is already on its way to another shard. */
@@ -90,4 +92,8 @@
 	onShardChanged(shardId: number): void
 	/** Every change up to a later revision is known. */
 	onRevisionAdvanced(): void
+	/** A full read leaves a terminal state out of memory; `revision`: of the change that made it durable. */
+	onTerminalStateOmitted(uid: string, record: JobRecord, revision: number): void
+	/** A full read is about to be applied: changes since the latest read may never be reported one by one. */
+	onFullRead(): void
 }
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -137,8 +137,11 @@
 			gapMs,
 			this.now,
 		)
-		cache.retains = (key, data) => this.archive.retains(key, data)
-		cache.onFullRead = (revision) => this.archive.onFullRead(revision)
+		cache.retains = (key, data, modRevision) => this.archive.retains(key, data, modRevision)
+		cache.onFullRead = (revision) => {
+			this.archive.onFullRead(revision)
+			this.recordObserver?.onFullRead()
+		}
 		cache.onRevisionAdvanced = () => {
 			this.archive.onRevisionAdvanced()
 			this.reads.onRevisionAdvanced()
@@ -166,6 +169,8 @@
 		return new ArchivalController(this, this.storeClient, {
 			ownedShards: () => this.shards.keys(),
 			jobsOnMachines: (shardId) => this.shards.get(shardId)?.jobsOnMachines() ?? null,
+			onTerminalStateOmitted: (uid, record, revision) =>
+				this.recordObserver?.onTerminalStateOmitted(uid, record, revision),
 			onUnsupportedFormat: (format) => {
 				const why = `the state is of form ${format}, which this version does not know`
 				this.log('error', 'unsupported record format', { why })
--- a/packages/server/src/terminal-state-retention.ts
+++ b/packages/server/src/terminal-state-retention.ts
@@ -5,6 +5,7 @@
 	decodeJobRecord,
 	HISTORY_KEY,
 	type HistoryRecord,
+	type JobRecord,
 } from '@heathroad/cluster'
 import type { SearchScope } from '@heathroad/history'
 import type { ControllerContext } from './controller-context.js'
@@ -28,8 +29,14 @@
 	private omittedCancellations = false
 	/** jobs that the full read in progress has met in accepted batches */
 	private readonly jobsInBatches = new Set<string>()
+	/** whether any full read so far has left out terminal states of the first format */
+	hasOmittedStates = false
 
-	constructor(private readonly context: ControllerContext) {
+	/** `onOmitted`: called for every terminal state that a full read leaves out. */
+	constructor(
+		private readonly context: ControllerContext,
+		private readonly onOmitted: (uid: string, record: JobRecord, revision: number) => void,
+	) {
 		this.omitsLegacyStates = context.config.history !== null
 	}
 
@@ -40,17 +47,22 @@
 	}
 
 	/**
-	 * Tells whether a full read keeps a key. Terminal states that an accepted batch still names are kept: without them the
-	 * job would be open again. That batch, and the record of the format, come before job keys in the order of keys.
+	 * Tells whether a full read keeps a key. Terminal states that an accepted batch still names are kept, and those of jobs
+	 * that are open in memory: without them the job would be open again. That batch, and the record of the format, come
+	 * before job keys in the order of keys.
 	 */
-	retains(key: string, data: unknown): boolean {
+	retains(key: string, data: unknown, modRevision: number): boolean {
 		// Where none of the first format are left, a job's own key shows a cancellation that is yet to be deleted.
 		if (key === HISTORY_KEY) this.omitsLegacyStates = decodeHistoryRecord(data)?.legacy ?? true
 		if (key.startsWith(BATCH_PREFIX)) this.rememberBatch(data)
 		if (!this.omitsLegacyStates || !key.startsWith(JOB_PREFIX)) return true
-		const finalState = decodeJobRecord(data)?.finalState
-		if (finalState === undefined || this.jobsInBatches.has(key.slice(JOB_PREFIX.length))) return true
-		if (finalState === 'aborted') this.omittedCancellations = true
+		const record = decodeJobRecord(data)
+		const uid = key.slice(JOB_PREFIX.length)
+		if (record?.finalState === undefined || this.jobsInBatches.has(uid)) return true
+		if (this.context.jobs.openJobs.has(uid)) return true
+		if (record.finalState === 'aborted') this.omittedCancellations = true
+		this.hasOmittedStates = true
+		this.onOmitted(uid, record, modRevision)
 		return false
 	}
 
--- a/packages/store/src/watch-cache.ts
+++ b/packages/store/src/watch-cache.ts
@@ -39,7 +39,7 @@
 	readonly readPacer: RequestPacer
 	private readonly linearizableReads: LinearizableReads
 	/** Is a key of a full read kept? Keys that change later are kept in any case. */
-	retains: (key: string, data: unknown) => boolean = () => true
+	retains: (key: string, data: unknown, modRevision: number) => boolean = () => true
 	/** Called before a full read is applied: changes since the last read may never be reported one by one. */
 	onFullRead: (revision: number) => void = () => {}
 
@@ -165,7 +165,7 @@
 
 	private retainsEntry(entry: KeyValue): boolean {
 		const key = withoutPrefix(entry.key)
-		return this.retains(key, entry.data) || this.entries.has(key)
+		return this.retains(key, entry.data, entry.modRevision) || this.entries.has(key)
 	}
 
 	/** Reads the changes since the last read; waits for one, for at most `blockMs`, if there is none. */
