--- a/packages/controller/src/machine-group-writer.ts
+++ b/packages/controller/src/machine-group-writer.ts
@@ -74,10 +74,10 @@
 		this.flush(groupName, WritePriority.outcome)
 	}
 
-	/** Removes a machine that is gone for certain. */
+	/** Removes a machine that is gone for certain. Until that is durable, a new owner of the shard waits for the machine. */
 	removeMachine(groupName: string, machineId: string): void {
 		this.changesOf(groupName).removedMachineIds.add(machineId)
-		this.flush(groupName, WritePriority.progress)
+		this.flush(groupName, WritePriority.outcome)
 	}
 
 	/** Records the machines of an answered rental; the group is deleted if there are none. */
@@ -168,6 +168,6 @@
 		if (this.planChange(groupName).kind === 'none') this.changesByGroup.delete(groupName)
 		else if (changes.rentedMachineIds !== null) this.flush(groupName, WritePriority.rental)
 		else if (changes.addresses.size > 0) this.flush(groupName, WritePriority.outcome)
-		else this.flush(groupName, WritePriority.progress)
+		else this.flush(groupName, WritePriority.outcome)
 	}
 }
--- a/packages/server/src/obsolete-records.ts
+++ b/packages/server/src/obsolete-records.ts
@@ -7,8 +7,7 @@
 /**
  * Deletes obsolete records whose names fall to shards that this controller owns. It queues as many at a time as half of
  * this controller's share of the changes takes until the next tick, two controller leases later: a vast job array leaves
- * a hundred of them, and deletions that timed out in the queue left records for ever. Nobody waits for them, so all other
- * writes go first.
+ * a hundred of them, and deletions that timed out in the queue left records for ever.
  */
 export const deleteObsoleteRecords = (
 	context: ControllerContext,
@@ -22,7 +21,7 @@
 		const key = KEY_PREFIX + name
 		const content = { conditions: [{ key, modRevision }], mutations: [{ delete: key }] }
 		context.writeQueue.enqueue({
-			priority: WritePriority.housekeeping,
+			priority: WritePriority.progress,
 			build: () => content,
 			deadline: context.now() + controllerLeaseMs,
 			onResult: () => {},
--- a/packages/store/src/write-queue.ts
+++ b/packages/store/src/write-queue.ts
@@ -8,9 +8,9 @@
 
 /**
  * Lower goes first. A rental's record, one change for dozens of machines, goes before acceptances and cancellations, those
- * before outcomes and release marks, then comes progress. Housekeeping, for which nobody waits, goes last.
+ * before outcomes and release marks, and progress goes last.
  */
-export const WritePriority = { rental: 0, user: 1, outcome: 2, progress: 3, housekeeping: 4 } as const
+export const WritePriority = { rental: 0, user: 1, outcome: 2, progress: 3 } as const
 
 /** Transactions in flight at one time. */
 const MAX_IN_FLIGHT = 3
@@ -61,7 +61,7 @@
 
 /** Writes wait in one queue for each priority, first in, first out. */
 export class WriteQueue {
-	private readonly queues: QueuedWrite[][] = Object.values(WritePriority).map(() => [])
+	private readonly queues: QueuedWrite[][] = [[], [], [], []]
 	private readonly bucket: TokenBucket
 	private readonly backoff = new Backoff()
 	private inFlight = 0
--- a/tests/obsolete-records.test.ts
+++ b/tests/obsolete-records.test.ts
@@ -9,14 +9,23 @@
  */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { Shard } from '@heathroad/controller'
+import { DEFAULT_OPERATOR_SETTINGS, deriveLimits } from '@heathroad/config'
+import { Shard } from '@heathroad/controller'
 import { type ControllerContext, deleteObsoleteRecords } from '@heathroad/server'
-import { type StoreClient, WritePriority, WriteQueue } from '@heathroad/store'
+import { type StoreClient, WriteQueue } from '@heathroad/store'
+import { BOX_MACHINE_TYPE, idlePorts, plainSettings } from '@heathroad/testkit'
 import { Effect } from 'effect'
 
 const WRITES_PER_S = 5
 const LEASE_MS = 4000
 const OPERATIONS = 4
+const STEP_MS = 100
+const GROUP_KEY = 'fleet/r'
+
+const machineGroup = {
+	data: { part: 0, type: 'box', zone: 'a', spot: true, asked: 0, hosts: { 'i-1': 'i-1:1' } },
+	modRevision: 2,
+}
 
 test('a machine that is gone leaves the records before obsolete records do', async (t) => {
 	t.mock.timers.enable({ apis: ['setTimeout'] })
@@ -35,6 +44,48 @@
 		maxBytes: 10_000,
 	}
 	const queue = new WriteQueue(client as StoreClient, limits, () => nowMs)
+	// A shard whose only machine is empty, and is returned as soon as it has been idle for half a boot.
+	const settings = plainSettings('a')
+	const released: ((gone: boolean) => void)[] = []
+	const ports = idlePorts({
+		now: () => nowMs,
+		entry: () => machineGroup,
+		withPrefix: (prefix) => (prefix === 'fleet/' ? [[GROUP_KEY, machineGroup]] : []),
+		sendCommands: (_address, fencingToken, agentEpoch, _commands, answer) =>
+			answer(200, {
+				machineId: 'i-1',
+				address: 'i-1:1',
+				machineType: 'box',
+				zone: 'a',
+				spot: true,
+				agentEpoch,
+				sequence: 1,
+				fencingToken,
+				preemptionNoticeS: null,
+				tasks: [],
+			}),
+		availableCloudCalls: () => 10,
+		releaseMachines: (_ids, done) => released.push(done),
+		enqueueWrite: (write) => {
+			const queued = { ...write, deadline: nowMs + LEASE_MS }
+			queue.enqueue(queued)
+			return queued
+		},
+	})
+	const shard = new Shard(
+		0,
+		3,
+		{ settings, ...DEFAULT_OPERATOR_SETTINGS, limits: deriveLimits(settings) },
+		ports,
+	)
+	const step = async () => {
+		await new Promise(setImmediate)
+		nowMs += STEP_MS
+		t.mock.timers.tick(STEP_MS)
+		shard.tick()
+	}
+	for (let waitedMs = 0; waitedMs <= BOX_MACHINE_TYPE.bootS * 1000; waitedMs += STEP_MS) await step()
+	assert.equal(released.length, 1, 'the machine is being returned')
 	const obsolete = Array.from({ length: 30 }, (_, index) => [`done/job-${index}/0`, { modRevision: index }])
 	const context = {
 		config: { limits: { writesPerS: WRITES_PER_S, controllerLeaseMs: LEASE_MS, controllerNames: ['a'] } },
@@ -42,22 +93,11 @@
 		writeQueue: queue,
 		now: () => nowMs,
 	} as unknown as ControllerContext
-	deleteObsoleteRecords(context, new Map([[0, {} as Shard]]))
-	// Returned to the cloud a moment later, as `MachineGroupWriter.removeMachine` writes it.
-	await new Promise(setImmediate)
-	queue.enqueue({
-		priority: WritePriority.progress,
-		deadline: LEASE_MS,
-		build: () => ({ conditions: [], mutations: [{ set: 'fleet/r1', data: {} }] }),
-		onResult: () => {},
-	})
-	for (let step = 0; step < 20; step++) {
-		await new Promise(setImmediate)
-		nowMs += 100
-		t.mock.timers.tick(100)
-	}
-	await new Promise(setImmediate)
-	const removedAs = sent.indexOf('fleet/r1')
+	deleteObsoleteRecords(context, new Map([[0, shard]]))
+	await step()
+	released[0](true)
+	for (let waitedMs = 0; waitedMs < LEASE_MS / 2; waitedMs += STEP_MS) await step()
+	const removedAs = sent.findIndex((key) => key.endsWith(GROUP_KEY))
 	assert.ok(sent.length > OPERATIONS, 'obsolete records are deleted too')
 	assert.ok(removedAs >= 0 && removedAs <= OPERATIONS, `${sent.length} changes, among them: ${removedAs}`)
 })
