Keep machines that were not heard since a takeover while a job waits for room

Cause: after a takeover machines are known to be empty from the probe, and are heard of only once their agents have given up the former owner. Until then they take no work, but counted as idle: with jobs waiting the shard returned all of them (shard reconciled at 23.9 s, machines releasing as idle at 27.0 and 28.5 s), and had to rent and boot others. Change: an empty machine that is not heard is not idle while a job waits; silence has its own limits.

--- a/packages/controller/src/machine-monitor.ts
+++ b/packages/controller/src/machine-monitor.ts
@@ -63,7 +63,7 @@
 		machine.idleSince = isBusy ? null : (machine.idleSince ?? now)
 		if (machine.drainReason !== null) this.drain(machine, now)
 		if (isBusy || !machine.reconciled || !this.state.reconciled) return false
-		const mayGetWork = jobsWait && !machine.addressRecorded
+		const mayGetWork = jobsWait && this.takesNoWorkYet(machine, now)
 		if (machine.drainReason === null && this.isIdleTooLong(machine, now) && !mayGetWork)
 			machine.drainReason = 'idle'
 		// Until they are durable, the outcomes of its ended tasks are on this machine only.
@@ -114,6 +114,11 @@
 		return false
 	}
 
+	/** Is it empty because no task can be placed on it until it is heard of or its address is durable? */
+	private takesNoWorkYet(machine: Machine, now: number): boolean {
+		return !machine.addressRecorded || !this.state.isHeard(machine, now)
+	}
+
 	private isIdleTooLong(machine: Machine, now: number): boolean {
 		if (machine.idleSince === null) return false
 		const { limits, tuning } = this.state.config
