Say exactly from which revision on a team's log of terminal states is complete, and log rejected cursors

Cause: a restarted controller took everything before the archival epoch for missing, though what is archived may be older than the reader's cursor. Change: it reads the latest archived revision, where the archive is small enough for one read. A rejected cursor is a log event of its own now, with the reason and the revision known here.

--- a/packages/grpc/src/service-records.ts
+++ b/packages/grpc/src/service-records.ts
@@ -99,17 +99,18 @@
 	}
 
 	/**
-	 * After a full read the log lacks the states that were archived before. If there are any, streams cannot resume from
-	 * before the archival epoch of that read.
+	 * After a full read the log lacks the states that were archived before: streams cannot resume from before the latest of
+	 * them.
 	 */
 	private checkArchive(): Effect.Effect<boolean> {
 		const { archive } = this.service
 		const epoch = this.epochAtFullRead
 		if (!this.mayLackArchivedStates) return Effect.succeed(true)
 		if (epoch === null) return Effect.succeed(false)
-		return Effect.map(archive.holdsStates(), (holdsStates) => {
-			if (holdsStates === null || this.epochAtFullRead !== epoch) return false
-			if (holdsStates) this.terminalStates.markIncompleteUpTo(epoch - 1)
+		return Effect.map(archive.latestRevision(), (latestRevision) => {
+			if (latestRevision === null || this.epochAtFullRead !== epoch) return false
+			// What was archived by then is older than the epoch.
+			this.terminalStates.markIncompleteUpTo(Math.min(latestRevision, epoch - 1))
 			this.mayLackArchivedStates = false
 			return true
 		})
--- a/packages/grpc/src/watch-calls.ts
+++ b/packages/grpc/src/watch-calls.ts
@@ -2,7 +2,13 @@
 import { randomBytes } from 'node:crypto'
 import { status } from '@grpc/grpc-js'
 import type { GrpcSettings } from '@heathroad/config'
-import { EventHub, type Selection, SendScheduler, StreamAdmission } from '@heathroad/events'
+import {
+	EventHub,
+	type Selection,
+	SendScheduler,
+	StreamAdmission,
+	type SubscribeError,
+} from '@heathroad/events'
 import type { Service } from '@heathroad/server'
 import { JOB_ID_FORMAT, JOB_ID_PATTERN } from '@heathroad/wire'
 import type { ServiceRecords } from './service-records.js'
@@ -16,6 +22,12 @@
 /** Retry delay while this controller cannot answer users, in ms. */
 const NOT_READY_RETRY_MS = 1000
 
+const CURSOR_FAILURES: Readonly<Record<SubscribeError, () => Failure>> = {
+	'invalid cursor': () =>
+		failure(status.INVALID_ARGUMENT, 'cursor: not one of this installation and selection'),
+	'out of range': () => failure(status.OUT_OF_RANGE, 'cursor: what follows it is not kept any more'),
+}
+
 /** What the calls need of their server. */
 export interface WatchCallsContext {
 	/** whether the server shuts down, so that it takes no more calls */
@@ -191,10 +203,13 @@
 			onEventsAvailable: () => stream.enqueue(),
 			onEnd: (reason) => stream.subscriptionEnded(reason),
 		})
-		if (subscription === 'invalid cursor')
-			stream.fail(failure(status.INVALID_ARGUMENT, 'cursor: not one of this installation and selection'))
-		else if (subscription === 'out of range')
-			stream.fail(failure(status.OUT_OF_RANGE, 'cursor: what follows it is not kept any more'))
+		if (typeof subscription === 'string') this.rejectCursor(stream, subscription, cursor)
 		else stream.start(subscription)
 	}
+
+	private rejectCursor(stream: WatchStream, why: SubscribeError, cursor: string): void {
+		const revision = this.records.revision()
+		this.service.log('info', 'stream cursor rejected', { why, peer: stream.peer, cursor, revision })
+		stream.fail(CURSOR_FAILURES[why]())
+	}
 }
--- a/packages/history/src/archive-keys.ts
+++ b/packages/history/src/archive-keys.ts
@@ -20,3 +20,6 @@
  * ordinal is that of the page covering it: one range request finds it without a list of pages.
  */
 export const archivePageKey = (level: number, to: string): string => levelPrefix(level) + to
+
+/** The level that the key of a page belongs to. */
+export const levelOf = (key: string): number => Number(key.slice(ARCHIVE_PREFIX.length).split('/')[0])
--- a/packages/history/src/archive-reader.ts
+++ b/packages/history/src/archive-reader.ts
@@ -1,9 +1,10 @@
 /** Looks up jobs whose terminal states are not in memory any more. */
 
 import type { RequestPacer, StoreClient } from '@heathroad/store'
+import type { KeyValue } from '@heathroad/wire'
 import { Effect } from 'effect'
-import { ARCHIVE_PREFIX } from './archive-keys.js'
-import type { ArchivePage } from './archive-page.js'
+import { ARCHIVE_PREFIX, levelOf } from './archive-keys.js'
+import { type ArchivePage, decodeArchivePage } from './archive-page.js'
 import type { ArchivedJob } from './archived-job.js'
 import {
 	type ArchiveLookup,
@@ -13,6 +14,7 @@
 	type PendingLookup,
 } from './lookup-queue.js'
 import { ordinalOf } from './ordinals.js'
+import { InvalidArchivePage, unpackJobs } from './packed-jobs.js'
 import { findInPacked } from './packed-lookup.js'
 import { type CachedPage, PageCache } from './page-cache.js'
 
@@ -37,6 +39,20 @@
 /** A revision before every other. */
 const NO_REVISION = -1
 
+/** The latest revision of the states on stored pages; infinite if a page is invalid. */
+const latestRevisionOf = (entries: readonly KeyValue[]): number => {
+	try {
+		const revisions = entries.flatMap(({ key, data, modRevision }) => {
+			const { packed } = decodeArchivePage(levelOf(key), key, data, modRevision)
+			return unpackJobs(packed).map((job) => job.revision)
+		})
+		return revisions.reduce((latest, revision) => Math.max(latest, revision), NO_REVISION)
+	} catch (error) {
+		if (error instanceof InvalidArchivePage) return Number.POSITIVE_INFINITY
+		throw error
+	}
+}
+
 /**
  * Answers look-ups of jobs that are terminal and not in memory: reads pages on demand, shares them between look-ups
  * and caches some.
@@ -127,13 +143,21 @@
 		})
 	}
 
-	/** Whether there are any archived states, read from the state service; null: that could not be read. */
-	holdsStates(): Effect.Effect<boolean | null> {
-		if (!this.searchScope().levels) return Effect.succeed(false)
+	/**
+	 * The latest revision at which an archived state became durable: -1 if nothing is archived, infinite if the archive is
+	 * too large to be read for that; null: it could not be read. States that are archived meanwhile may be left out.
+	 */
+	latestRevision(): Effect.Effect<number | null> {
+		if (!this.searchScope().levels) return Effect.succeed(NO_REVISION)
 		const read = Effect.sleep(this.pacer.reserveDelayMs()).pipe(
-			Effect.andThen(Effect.suspend(() => this.client.list(ARCHIVE_PREFIX, null, 1))),
+			Effect.andThen(
+				Effect.suspend(() => this.client.list(ARCHIVE_PREFIX, null, this.limits.maxPagesPerRead)),
+			),
 		)
-		return Effect.match(read, { onFailure: () => null, onSuccess: ({ entries }) => entries.length > 0 })
+		return Effect.match(read, {
+			onFailure: () => null,
+			onSuccess: ({ entries, more }) => (more ? Number.POSITIVE_INFINITY : latestRevisionOf(entries)),
+		})
 	}
 
 	/** These jobs left memory with the change of this revision: pages read earlier may lack them. */
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -182,6 +182,13 @@
 		action: 'Report it with its stack.',
 	},
 	'gRPC server listening': { level: 'info', meaning: 'The gRPC listener is open.', action: 'None.' },
+	'stream cursor rejected': {
+		level: 'info',
+		meaning:
+			'A stream could not begin at its cursor; `why` tells the reason, `revision` what is known here. Its reader begins anew with the present state.',
+		action:
+			'For `out of range`: the reader was away for longer than terminal states are kept ([grpc] history), or this controller restarted since they were archived.',
+	},
 	'slow stream closed': {
 		level: 'info',
 		meaning: 'A stream was closed because its reader did not keep up.',
--- a/packages/server/src/archival-controller.ts
+++ b/packages/server/src/archival-controller.ts
@@ -109,8 +109,8 @@
 		return isAllInMemory || this.reader.provesAbsent(uid)
 	}
 
-	holdsStates(): Effect.Effect<boolean | null> {
-		return this.reader.holdsStates().pipe(
+	latestRevision(): Effect.Effect<number | null> {
+		return this.reader.latestRevision().pipe(
 			Effect.timeoutOption(USER_ANSWER_TIMEOUT_MS),
 			Effect.map((found) => (found._tag === 'Some' ? found.value : null)),
 		)
--- a/packages/server/src/controller-context.ts
+++ b/packages/server/src/controller-context.ts
@@ -17,12 +17,18 @@
 	cached(uid: string): ArchivedJob | undefined
 	/** Looks up the terminal state of a job that no record in memory names. */
 	lookUp(uid: string): Effect.Effect<ArchiveLookup>
-	/** Tells, without a read, whether the job is certainly not archived, so that it can be accepted. */
+	/**
+	 * Tells, without a read, whether a job that no record in memory names is certainly not terminal, neither archived nor
+	 * left out of a full read, so that it can be accepted.
+	 */
 	provesAbsent(uid: string): boolean
 	/** Returns the revision of the latest archival epoch; 0: nothing is archived. */
 	archivalEpoch(): number
-	/** Tells whether there are archived terminal states; null: that could not be read. */
-	holdsStates(): Effect.Effect<boolean | null>
+	/**
+	 * Returns the latest revision at which an archived state became durable; -1: nothing is archived; infinite: the archive
+	 * is too large to tell; null: it could not be read.
+	 */
+	latestRevision(): Effect.Effect<number | null>
 }
 
 /** A waiting job that is already on its way to another shard. */
