--- /dev/null
+++ b/tests/job-watcher.test.ts
@@ -0,0 +1,65 @@
+/**
+ * The client's watcher began anew without a delay as often as a server rejected its cursor: against a server that keeps
+ * answering OUT_OF_RANGE, as one with too short a history for a busy team does, it sent calls as fast as they were answered.
+ */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { JobWatcher } from '../packages/client/src/job-watcher.js'
+import type { RetryingCaller } from '../packages/client/src/retrying-caller.js'
+import type { JobEvent, StreamEnd, Transport } from '../packages/client/src/transport.js'
+import type { TransportPool } from '../packages/client/src/transport-pool.js'
+
+const REJECTED: StreamEnd = { kind: 'restart', text: 'what follows it is not kept any more' }
+const event = (uid: string, state: JobEvent['state']): JobEvent => ({
+	uid,
+	state,
+	done: 0,
+	running: 0,
+	tasks: 1,
+	cursor: `after ${uid} ${state}`,
+	afterGap: false,
+})
+
+/** A watcher at a server whose streams deliver what `streams` says, one after the other; the last one is repeated. */
+const createWatcher = (streams: readonly { events: JobEvent[]; end: StreamEnd }[]) => {
+	const cursors: string[] = []
+	const transport: Pick<Transport, 'watch'> = {
+		async *watch(_selection, cursor) {
+			const { events, end } = streams[Math.min(cursors.length, streams.length - 1)]
+			cursors.push(cursor)
+			await new Promise(setImmediate)
+			yield* events
+			return end
+		},
+	}
+	const pool = {
+		choose: async () => ({ transport, candidateCount: 1 }),
+		advance: () => {},
+	} as unknown as TransportPool
+	return { cursors, watcher: new JobWatcher(pool, {} as RetryingCaller, 1000, () => 0.5) }
+}
+
+test('a watcher whose cursor is rejected again and again backs off', async () => {
+	const { cursors, watcher } = createWatcher([{ events: [], end: REJECTED }])
+	const abort = new AbortController()
+	setTimeout(() => abort.abort(), 1000)
+	await assert.rejects(async () => {
+		for await (const _ of watcher.watch({ team: 'a' }, { signal: abort.signal, cursor: 'old' }));
+	}, /interrupted/)
+	// The first time at once; then after 200 ms, 400 ms and so on, each with jitter.
+	assert.ok(cursors.length >= 2 && cursors.length <= 8, `${cursors.length} streams in a second`)
+})
+
+test('a watcher whose cursor is rejected once begins anew at once, and says that there was a gap', async () => {
+	const { cursors, watcher } = createWatcher([
+		{ events: [], end: REJECTED },
+		{ events: [event('job-000001', 'done')], end: { kind: 'complete' } },
+	])
+	const begunAt = performance.now()
+	const events: JobEvent[] = []
+	for await (const received of watcher.watch({ uids: ['job-000001'] }, { cursor: 'old' }))
+		events.push(received)
+	assert.deepEqual(cursors, ['old', ''])
+	assert.deepEqual(events, [{ ...event('job-000001', 'done'), afterGap: true }])
+	assert.ok(performance.now() - begunAt < 100, 'no delay')
+})
