Back off when a server goes on rejecting a watch's cursor

Symptom: 30,694 streams in a second against a stand-in that answers OUT_OF_RANGE to every cursor. Cause: the watcher began anew without a delay, however often it was rejected in a row. Change: the first rejection begins anew at once, further ones without an event in between back off as failures do. That afterGap stays set for the rest of a watch is what docs/client.md says, so it is no fault.

--- a/packages/client/src/job-watcher.ts
+++ b/packages/client/src/job-watcher.ts
@@ -7,6 +7,7 @@
 	isFinal,
 	type JobEvent,
 	type JobInfo,
+	type RetryableFailure,
 	type Selection,
 	type StreamEnd,
 	type Transport,
@@ -29,10 +30,21 @@
 	cursor: string
 	/** a stream had to begin anew */
 	hasGap: boolean
+	/** streams in a row that were rejected at their cursor, without an event in between */
+	rejectedCursors: number
 	/** named jobs whose terminal state was delivered */
 	readonly terminalJobs: Set<string>
 }
 
+/** What a rejected cursor counts as, if it is not the first in a row. */
+const REJECTED_CURSOR: RetryableFailure = {
+	kind: 'retryable',
+	text: '',
+	retryAfterMs: null,
+	mayBeAccepted: true,
+	isUnreachable: false,
+}
+
 /** The job that errors of a watch name; empty for a team. */
 const firstJobId = (selection: Selection): string => ('team' in selection ? '' : (selection.uids[0] ?? ''))
 
@@ -54,6 +66,7 @@
 		const progress: WatchProgress = {
 			cursor: options.cursor ?? '',
 			hasGap: false,
+			rejectedCursors: 0,
 			terminalJobs: new Set(),
 		}
 		let failedGrpcTries = 0
@@ -66,8 +79,7 @@
 			throwIfInterrupted(call)
 			if (end.kind === 'rejected') throw rejectionError(end, uid, false)
 			if (end.kind === 'restart') {
-				progress.cursor = ''
-				progress.hasGap = true
+				await this.beginAnew(progress, end.text, candidateCount, call)
 				continue
 			}
 			failedGrpcTries = end.lacksGrpc ? failedGrpcTries + 1 : 0
@@ -79,6 +91,24 @@
 		}
 	}
 
+	/**
+	 * The cursor was rejected: the next stream begins with the present state. Once is ordinary after a long absence, so it
+	 * begins at once; a server that goes on rejecting is asked less and less often.
+	 */
+	private async beginAnew(
+		progress: WatchProgress,
+		why: string,
+		addressCount: number,
+		call: InterruptibleCall,
+	): Promise<void> {
+		progress.cursor = ''
+		progress.hasGap = true
+		const tries = progress.rejectedCursors++
+		if (tries === 0) return
+		const failure = { ...REJECTED_CURSOR, text: why }
+		await delay(retryDelayMs({ tries, failure, addressCount, random: this.random }), call)
+	}
+
 	private watchAt(
 		transport: Transport,
 		selection: Selection,
@@ -105,6 +135,7 @@
 				if (step.done) return step.value
 				const event = step.value
 				progress.cursor = event.cursor
+				progress.rejectedCursors = 0
 				if ('uids' in selection) {
 					// After a restart the present state includes terminal states that were delivered before.
 					if (progress.terminalJobs.has(event.uid)) continue
