--- a/packages/testkit/src/clock.ts
+++ b/packages/testkit/src/clock.ts
@@ -77,6 +77,10 @@
 	private readonly queue = new EventQueue()
 	private readonly generator
 	private readonly realImmediate = setImmediate
+	/** The real monotonic clock, in ms; `performance.now` is replaced while virtual time runs. */
+	private readonly realNow = performance.now.bind(performance)
+	/** Called after every event with its process, and the real time that the event and its promises took, in ms. */
+	onEventRun: ((owner: number | null, realMs: number) => void) | null = null
 	/** the process whose code runs; timers that it sets belong to it */
 	private currentOwner: number | null = null
 	/** when frozen processes continue; what is due until then happens at that time, all at once */
@@ -118,9 +122,11 @@
 	}
 
 	private async runEvents(untilMs: number): Promise<void> {
-		for (;;) {
+		for (let startedAt = this.realNow(); ; ) {
 			// Promises settle between two events.
 			await new Promise<void>((done) => this.realImmediate(done))
+			this.onEventRun?.(this.currentOwner, this.realNow() - startedAt)
+			startedAt = this.realNow()
 			let event = this.queue.pop()
 			while (event !== undefined && (event.gone || this.isPostponed(event))) event = this.queue.pop()
 			if (event === undefined || event.atMs > untilMs) return
--- a/packages/testkit/src/fake-worker.ts
+++ b/packages/testkit/src/fake-worker.ts
@@ -97,6 +97,11 @@
 		return this.ports.clock.nowMs < this.hungUntilMs
 	}
 
+	/** Names of its running tasks. */
+	*runningTasks(): Iterable<string> {
+		for (const { task, status } of this.tasks.values()) if (status === 'running') yield task
+	}
+
 	/** Has the cloud announced that it takes the machine? */
 	get noticed(): boolean {
 		return this.preemptedAtMs !== null
--- /dev/null
+++ b/packages/testkit/src/mass-restart.ts
@@ -0,0 +1,234 @@
+/**
+ * Measures a mass restart in virtual time: all controllers crash at one moment while every machine runs tasks, and boot
+ * again. Tells what the restart costs the controllers, and when all machines are heard and all waiting jobs run.
+ */
+import { VirtualClock } from './clock.js'
+import { arrayJob, BOX_MACHINE_TYPE, type SimulatedDay, ZONES } from './simulated-day.js'
+import { Simulation } from './simulation.js'
+
+/** What is restarted. */
+export interface MassRestartOptions {
+	machines: number
+	controllers: number
+	seed: number
+}
+
+/** What a restart took; counts and times are from the moment at which the controllers boot again. */
+export interface MassRestartResult {
+	machines: number
+	/** processor time of all controllers, and of the busiest one, in s */
+	totalProcessorS: number
+	busiestProcessorS: number
+	/** the largest processor time of one controller within a second of virtual time, in s */
+	peakProcessorS: number
+	/** memory of one controller's objects, in MB; null: the garbage collector is not exposed */
+	controllerMb: number | null
+	/** messages that machines and controllers exchanged, for each machine */
+	messagesPerMachine: number
+	/** changes of the state, for each machine */
+	writesPerMachine: number
+	/** time until every machine's heartbeat was answered by its owner, in s; null: not before the end */
+	allHeardS: number | null
+	/** time until tasks of every job run, in s; null: not before the end */
+	allRunningS: number | null
+	/** share of all tasks that run at the end */
+	runningShare: number
+	/** violations of the protocol */
+	violations: readonly string[]
+}
+
+const TIMES = { reportS: 3, leaseS: 15, cancelS: 35 }
+/** Machines of one group; a rental brings no more. */
+const MACHINES_PER_GROUP = 50
+/** Tasks of one job; each takes one CPU. */
+const TASKS_PER_JOB = 100
+/**
+ * Tasks of a machine, which leave one of its eight CPUs free: those that run for longer than the measurement, those that end about when the
+ * controllers crash, and those that are submitted then and wait for their room.
+ */
+const TASKS_PER_MACHINE = { lasting: 5, ending: 2, waiting: 2 }
+const RUN_S = { lasting: 10_000, ending: 55, waiting: 10_000 }
+/** The jobs of the beginning arrive in this time, in s: before empty machines are returned. */
+const SUBMISSION_S = { from: 0.6, until: 3 }
+/** Time of the crash and how long the controllers are down, in s. */
+const CRASH = { atS: 60, downS: 8 }
+/** The restart is followed for so long, in s: several leases of the agents. */
+const FOLLOWED_S = 60
+const MS_PER_S = 1000
+const BYTES_PER_MB = 1e6
+
+const jobId = (index: number): string => `job-${String(400_000 + index)}`
+
+const jobCount = (machines: number, tasksPerMachine: number): number =>
+	Math.ceil((machines * tasksPerMachine) / TASKS_PER_JOB)
+
+/** Jobs whose arrivals are spread evenly over a time. */
+const jobsOf = (
+	kind: keyof typeof RUN_S,
+	first: number,
+	count: number,
+	{ from, until }: { from: number; until: number },
+): SimulatedDay['jobs'] =>
+	Array.from({ length: count }, (_, index) => ({
+		atS: from + ((until - from) * index) / count,
+		spec: arrayJob(jobId(first + index), { tasks: TASKS_PER_JOB, expectedS: RUN_S[kind], spot: false }),
+	}))
+
+/** Processor time of the controllers from a moment on. */
+class ProcessorTime {
+	readonly totalMs: number[]
+	peakMs = 0
+	private second = -1
+	private readonly ofSecondMs: number[]
+
+	constructor(private readonly controllers: number) {
+		this.totalMs = Array.from({ length: controllers }, () => 0)
+		this.ofSecondMs = [...this.totalMs]
+	}
+
+	add(owner: number | null, realMs: number, nowMs: number): void {
+		if (owner === null || owner < 0 || owner >= this.controllers) return
+		const second = Math.floor(nowMs / MS_PER_S)
+		if (second !== this.second) this.ofSecondMs.fill(0)
+		this.second = second
+		this.totalMs[owner] += realMs
+		this.ofSecondMs[owner] += realMs
+		this.peakMs = Math.max(this.peakMs, this.ofSecondMs[owner])
+	}
+}
+
+/** One measurement under way. */
+class MassRestart {
+	private readonly clock: VirtualClock
+	private readonly simulation: Simulation
+	private readonly processorTime: ProcessorTime
+	private readonly restartMs = (CRASH.atS + CRASH.downS) * MS_PER_S
+	private readonly heardMachines = new Set<string>()
+	/** jobs that do not end before the measurement does */
+	private readonly lastingJobs: readonly string[]
+	private messages = 0
+	private writes = 0
+	private allHeardMs: number | null = null
+	private allRunningMs: number | null = null
+	private runningTasks = 0
+	private readonly heapBytes: number[] = []
+
+	constructor(private readonly options: MassRestartOptions) {
+		const { machines, controllers, seed } = options
+		const lasting = jobCount(machines, TASKS_PER_MACHINE.lasting)
+		const ending = jobCount(machines, TASKS_PER_MACHINE.ending)
+		const waiting = jobCount(machines, TASKS_PER_MACHINE.waiting)
+		const whileDown = { from: CRASH.atS - 1, until: CRASH.atS + CRASH.downS }
+		const jobs = [
+			...jobsOf('ending', 0, ending, SUBMISSION_S),
+			...jobsOf('lasting', ending, lasting, SUBMISSION_S),
+			...jobsOf('waiting', ending + lasting, waiting, whileDown),
+		]
+		this.lastingJobs = jobs.slice(ending).map(({ spec }) => spec.uid)
+		this.clock = new VirtualClock(seed)
+		const who = Array.from({ length: controllers }, (_, index) => index)
+		this.simulation = new Simulation(
+			{
+				seed,
+				untilS: CRASH.atS + CRASH.downS + FOLLOWED_S,
+				controllers,
+				jobs,
+				faults: [{ atS: CRASH.atS, kind: 'crash', who, forS: CRASH.downS }],
+				report: TIMES,
+				up: machines,
+				capacity: 0,
+				stateLimits: true,
+				balanced: true,
+			},
+			this.clock,
+		)
+		this.processorTime = new ProcessorTime(controllers)
+	}
+
+	async run(): Promise<MassRestartResult> {
+		this.recordMachines()
+		this.observe()
+		await this.simulation.play()
+		return this.result()
+	}
+
+	/** The machines are in the records from the beginning, as if they had been rented long ago. */
+	private recordMachines(): void {
+		const { machines, controllers } = this.options
+		for (let first = 0, group = 0; first < machines; first += MACHINES_PER_GROUP, group++) {
+			const count = Math.min(MACHINES_PER_GROUP, machines - first)
+			const ids = Array.from({ length: count }, (_, index) => `i-${String(first + index).padStart(6, '0')}`)
+			this.simulation.state.put(`heathroad/fleet/g${group}`, {
+				part: group % controllers,
+				type: BOX_MACHINE_TYPE.name,
+				zone: ZONES[0],
+				spot: false,
+				asked: 0,
+				hosts: Object.fromEntries(ids.map((id) => [id, `${id}:1`])),
+			})
+		}
+	}
+
+	private observe(): void {
+		const { clock, simulation } = this
+		clock.onEventRun = (owner, realMs) => {
+			if (this.hasRestarted()) this.processorTime.add(owner, realMs, clock.nowMs)
+		}
+		simulation.state.changed = () => {
+			if (this.hasRestarted()) this.writes++
+		}
+		simulation.trace = ({ kind, direction, other, head }) => {
+			if (!this.hasRestarted() || !simulation.workers.has(other.split(':')[0])) return
+			this.messages++
+			if (kind === 'answer' && direction === 'out' && head.startsWith('200')) this.heardMachines.add(other)
+		}
+		clock.after(CRASH.atS * MS_PER_S - 1, () => this.sampleHeap(), null)
+		clock.after(this.restartMs - 1, () => this.sampleHeap(), null)
+		clock.after(this.restartMs, () => this.checkProgress(), null)
+	}
+
+	private hasRestarted(): boolean {
+		return this.clock.nowMs >= this.restartMs
+	}
+
+	/** Checks regularly whether all machines are heard and all tasks run. */
+	private checkProgress(): void {
+		const { clock, simulation, heardMachines } = this
+		const runningTasks = [...simulation.workers.values()].flatMap((worker) => [...worker.runningTasks()])
+		const runningJobs = new Set(runningTasks.map((task) => task.split('/')[0]))
+		this.runningTasks = runningTasks.length
+		if (this.lastingJobs.every((uid) => runningJobs.has(uid))) this.allRunningMs ??= clock.nowMs
+		if ([...simulation.workers.keys()].every((id) => heardMachines.has(id))) this.allHeardMs ??= clock.nowMs
+		clock.after(MS_PER_S / 2, () => this.checkProgress(), null)
+	}
+
+	private sampleHeap(): void {
+		if (globalThis.gc === undefined) return
+		globalThis.gc()
+		this.heapBytes.push(process.memoryUsage().heapUsed)
+	}
+
+	private result(): MassRestartResult {
+		const { machines, controllers } = this.options
+		const { totalMs, peakMs } = this.processorTime
+		const [withControllers, without] = this.heapBytes
+		const sinceRestartS = (atMs: number | null) => (atMs === null ? null : (atMs - this.restartMs) / MS_PER_S)
+		return {
+			machines,
+			totalProcessorS: totalMs.reduce((sum, ms) => sum + ms, 0) / MS_PER_S,
+			busiestProcessorS: Math.max(...totalMs) / MS_PER_S,
+			peakProcessorS: peakMs / MS_PER_S,
+			controllerMb: without === undefined ? null : (withControllers - without) / controllers / BYTES_PER_MB,
+			messagesPerMachine: this.messages / machines,
+			writesPerMachine: this.writes / machines,
+			allHeardS: sinceRestartS(this.allHeardMs),
+			allRunningS: sinceRestartS(this.allRunningMs),
+			runningShare: this.runningTasks / (this.lastingJobs.length * TASKS_PER_JOB),
+			violations: this.simulation.invariants.violations,
+		}
+	}
+}
+
+/** Plays one mass restart and measures it. */
+export const measureMassRestart = (options: MassRestartOptions): Promise<MassRestartResult> =>
+	new MassRestart(options).run()
