Leave no listener behind a failed start and no timer behind a stop; report errors of the gRPC listener

Cause: start, stop and listen left these to the end of the process. Change: a failed start closes what it opened, a stop settles who waits, errors of the listener are logged.

--- a/packages/grpc/src/connections.ts
+++ b/packages/grpc/src/connections.ts
@@ -6,12 +6,14 @@
 /** Connections that the kernel queues before they are accepted. */
 const LISTEN_BACKLOG = 128
 
-/** Bounds of the connections. */
+/** Bounds of the connections, and who hears of errors. */
 export interface ConnectionLimits {
 	/** open connections at most; further ones are refused */
 	maxConnections: number
 	/** a connection without the preface of HTTP/2 is closed after this time, in ms */
 	prefaceTimeoutMs: number
+	/** called with errors of the listener after it has opened */
+	onError: (error: Error) => void
 }
 
 /**
@@ -41,7 +43,11 @@
 		}
 		return new Promise((resolve, reject) => {
 			this.server.once('error', reject)
-			this.server.listen(options, () => resolve(this.server.address() as net.AddressInfo))
+			this.server.listen(options, () => {
+				this.server.off('error', reject)
+				this.server.on('error', this.limits.onError)
+				resolve(this.server.address() as net.AddressInfo)
+			})
 		})
 	}
 
--- a/packages/grpc/src/grpc-server.ts
+++ b/packages/grpc/src/grpc-server.ts
@@ -75,7 +75,11 @@
 		this.injector = this.server.createConnectionInjector(ServerCredentials.createInsecure())
 		const share = Math.max(MIN_CONNECTIONS, Math.floor(maxSockets / SOCKETS_PER_CONNECTION))
 		this.connections = new Connections(
-			{ maxConnections: settings.maxConnections || share, prefaceTimeoutMs: PREFACE_TIMEOUT_MS },
+			{
+				maxConnections: settings.maxConnections || share,
+				prefaceTimeoutMs: PREFACE_TIMEOUT_MS,
+				onError: (error) => service.log('error', 'gRPC listener failed', { error: error.message }),
+			},
 			(socket) => this.injector.injectConnection(socket),
 		)
 	}
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -182,6 +182,11 @@
 		action: 'Report it with its stack.',
 	},
 	'gRPC server listening': { level: 'info', meaning: 'The gRPC listener is open.', action: 'None.' },
+	'gRPC listener failed': {
+		level: 'error',
+		meaning: 'The gRPC listener reported an error after it had opened; it goes on if it can.',
+		action: 'For `EMFILE`: raise the limit of open files. Restart if streams are refused.',
+	},
 	'stream cursor rejected': {
 		level: 'info',
 		meaning:
--- a/packages/server/src/record-reads.ts
+++ b/packages/server/src/record-reads.ts
@@ -8,12 +8,15 @@
 
 interface RevisionWaiter {
 	revision: number
+	timer: ReturnType<typeof setTimeout>
 	done: (ok: boolean) => void
 }
 
 /** Brings one watch cache up to date for those who need it fresh. */
 export class RecordReads {
 	private readonly revisionWaiters = new Set<RevisionWaiter>()
+	private readonly retryTimers = new Set<ReturnType<typeof setTimeout>>()
+	private isStopped = false
 
 	constructor(
 		private readonly cache: WatchCache,
@@ -38,30 +41,52 @@
 	refreshCache(done: () => void): void {
 		const onRead = (ok: boolean) => {
 			if (ok) done()
-			else setTimeout(done, this.controllerLeaseMs * REFRESH_RETRY_LEASES)
+			else this.retryLater(done)
 		}
 		Effect.runFork(this.cache.linearizableRead(this.storeClient).pipe(Effect.map(onRead)))
 	}
 
+	private retryLater(done: () => void): void {
+		if (this.isStopped) return
+		const timer = setTimeout(() => {
+			this.retryTimers.delete(timer)
+			done()
+		}, this.controllerLeaseMs * REFRESH_RETRY_LEASES)
+		this.retryTimers.add(timer)
+	}
+
 	/** Calls back with true once the cache is at the revision, with false after `USER_ANSWER_TIMEOUT_MS`. */
 	waitForRevision(revision: number, done: (ok: boolean) => void): void {
 		if (this.cache.revision >= revision) {
 			done(true)
 			return
 		}
-		const waiter = { revision, done }
+		if (this.isStopped) {
+			done(false)
+			return
+		}
+		const timer = setTimeout(() => this.settle(waiter, false), USER_ANSWER_TIMEOUT_MS)
+		const waiter = { revision, done, timer }
 		this.revisionWaiters.add(waiter)
-		setTimeout(() => {
-			if (this.revisionWaiters.delete(waiter)) done(false)
-		}, USER_ANSWER_TIMEOUT_MS)
+	}
+
+	private settle(waiter: RevisionWaiter, ok: boolean): void {
+		if (!this.revisionWaiters.delete(waiter)) return
+		clearTimeout(waiter.timer)
+		waiter.done(ok)
+	}
+
+	/** Tells everybody who waits that it will not happen, and leaves no timer behind. */
+	stop(): void {
+		this.isStopped = true
+		for (const timer of this.retryTimers) clearTimeout(timer)
+		this.retryTimers.clear()
+		for (const waiter of [...this.revisionWaiters]) this.settle(waiter, false)
 	}
 
 	/** The cache's revision has advanced: those who wait for it are called back. */
 	onRevisionAdvanced(): void {
 		for (const waiter of this.revisionWaiters)
-			if (waiter.revision <= this.cache.revision) {
-				this.revisionWaiters.delete(waiter)
-				waiter.done(true)
-			}
+			if (waiter.revision <= this.cache.revision) this.settle(waiter, true)
 	}
 }
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -90,7 +90,7 @@
 	private readonly handlePublicRequest: RequestHandler
 	private fibers: Fiber.Fiber<unknown, unknown>[] = []
 	private timers: ReturnType<typeof setInterval>[] = []
-	private servers: http.Server[] = []
+	private readonly servers: http.Server[] = []
 
 	/**
 	 * @param now steady clock, in ms
@@ -198,18 +198,19 @@
 			requestTimeoutMs: REQUEST_TIMEOUT_MS,
 			maxSockets: limits.maxSockets,
 		}
-		this.servers = [
-			await startHttpServer(
-				settings.bind,
-				{ ...listenerLimits, isLowPriorityPath: isUserPath },
-				(request, respond) => this.handleRequest(request, respond),
-			),
-			await startHttpServer(
-				settings.internal_addr,
-				listenerLimits,
-				internalRequestHandler(this, () => this.adminHandler),
-			),
-		]
+		const publicServer = await startHttpServer(
+			settings.bind,
+			{ ...listenerLimits, isLowPriorityPath: isUserPath },
+			(request, respond) => this.handleRequest(request, respond),
+		)
+		this.servers.push(publicServer)
+		const internalHandler = internalRequestHandler(this, () => this.adminHandler)
+		try {
+			this.servers.push(await startHttpServer(settings.internal_addr, listenerLimits, internalHandler))
+		} catch (error) {
+			await this.closeServers()
+			throw error
+		}
 		this.begin()
 	}
 
@@ -243,7 +244,12 @@
 		for (const fiber of this.fibers) Effect.runFork(Fiber.interrupt(fiber))
 		for (const shard of this.shards.values()) shard.stop()
 		this.archive.stop()
-		for (const server of this.servers) {
+		this.reads.stop()
+		await this.closeServers()
+	}
+
+	private async closeServers(): Promise<void> {
+		for (const server of this.servers.splice(0)) {
 			server.closeAllConnections()
 			await new Promise((done) => server.close(done))
 		}
