--- a/tests/golden-days.test.ts
+++ b/tests/golden-days.test.ts
@@ -37,9 +37,27 @@
 		})
 	})
 
-for (const day of GOLDEN_DAYS)
-	test(`the values kept of the day "${day.name}" decode to what is shown of them`, () => {
-		const golden = JSON.parse(readFixture(`day-${day.name}.json`)) as Record<string, FormOfDay>
+/**
+ * The day "archived" as commit e499f66 stored and sent it. Since issue 32 the day goes another way: after a takeover
+ * machines are kept while a job waits for them, the removal of a machine is written sooner, and look-ups precede some
+ * acceptances. Its fixture was made anew for that; this one keeps the forms of before.
+ */
+const EARLIER_DAYS = ['archived-e499f66']
+const KEPT_DAYS = [...GOLDEN_DAYS.map((day) => day.name), ...EARLIER_DAYS]
+
+test('the day "archived" shows every place and type that it showed on e499f66', () => {
+	const earlier = JSON.parse(readFixture('day-archived-e499f66.json')) as Record<string, FormOfDay>
+	const present = JSON.parse(readFixture('day-archived.json')) as Record<string, FormOfDay>
+	assert.deepEqual(Object.keys(present), Object.keys(earlier))
+	for (const [form, { features }] of Object.entries(earlier)) {
+		const missing = features.filter((feature) => !present[form].features.includes(feature))
+		assert.deepEqual(missing, [], form)
+	}
+})
+
+for (const name of KEPT_DAYS)
+	test(`the values kept of the day "${name}" decode to what is shown of them`, () => {
+		const golden = JSON.parse(readFixture(`day-${name}.json`)) as Record<string, FormOfDay>
 		for (const [form, { samples }] of Object.entries(golden))
 			for (const sample of samples.filter(() => !isJson(form))) {
 				const value = decode(Buffer.from(sample.bytes, 'hex'))
@@ -48,11 +66,11 @@
 			}
 	})
 
-for (const day of GOLDEN_DAYS)
-	test(`the snapshot of the day "${day.name}" is read, checked, imported and exported again`, async () => {
-		const { findings, imported } = await readableBy(`snapshot-${day.name}.jsonl`)
+for (const name of KEPT_DAYS)
+	test(`the snapshot of the day "${name}" is read, checked, imported and exported again`, async () => {
+		const { findings, imported } = await readableBy(`snapshot-${name}.jsonl`)
 		assert.deepEqual(findings, [])
-		const file = `snapshot-${day.name}-imported.jsonl`
+		const file = `snapshot-${name}-imported.jsonl`
 		if (updating) writeFixture(file, imported)
 		assert.equal(imported, readFixture(file))
 	})
