--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -11,10 +11,8 @@
 const RUNNER_OPTIONS = [
 	'--enable-source-maps',
 	'--test',
-	// A file that never ends fails the run instead of holding it up. One whose tests have all ended is not waited for:
-	// the check of streams now and then left something behind that kept its process (docs/ROADMAP.md).
+	// A file whose process does not end fails the run, also if all of its tests have passed: something was left open.
 	'--test-timeout=300000',
-	'--test-force-exit',
 	'--test-reporter=tap',
 ]
 
--- a/tests/golden-days.test.ts
+++ b/tests/golden-days.test.ts
@@ -14,12 +14,21 @@
 
 const isJson = (form: string): boolean => form.startsWith('plug-in call')
 
+/**
+ * The day "archived" as it goes now. Since issue 32 it goes another way than on e499f66: after a takeover machines are
+ * kept while a job waits for them, the removal of a machine is written sooner, and look-ups precede some acceptances. The
+ * fixture of e499f66 keeps the forms of before: they are still read and written alike, and the present day shows them all.
+ */
+const PRESENT_ARCHIVED_DAY = 'archived-present'
+const fixtureName = (dayName: string): string => (dayName === 'archived' ? PRESENT_ARCHIVED_DAY : dayName)
+const KEPT_DAYS = [...GOLDEN_DAYS.map((day) => day.name), PRESENT_ARCHIVED_DAY]
+
 for (const day of GOLDEN_DAYS)
 	test(`the day "${day.name}" stores and sends what it always did`, async (t) => {
 		const recorder = new Recorder()
 		const world = await day.play(recorder)
 		assert.deepEqual(world.invariants.violations, [])
-		const name = `day-${day.name}.json`
+		const name = `day-${fixtureName(day.name)}.json`
 		const result = recorder.result()
 		if (updating) writeFixture(name, fixtureText(result))
 		const golden = JSON.parse(readFixture(name)) as Record<string, FormOfDay>
@@ -30,24 +39,16 @@
 				assert.ok(recorder.saw(form, sample), `${form}: ${sample.about}: ${JSON.stringify(sample.view)}`)
 		}
 		await t.test('its state as a snapshot', async () => {
-			const file = `snapshot-${day.name}.jsonl`
+			const file = `snapshot-${fixtureName(day.name)}.jsonl`
 			const text = await snapshotOf(world.state)
 			if (updating) writeFixture(file, text)
 			assert.equal(text, readFixture(file))
 		})
 	})
 
-/**
- * The day "archived" as commit e499f66 stored and sent it. Since issue 32 the day goes another way: after a takeover
- * machines are kept while a job waits for them, the removal of a machine is written sooner, and look-ups precede some
- * acceptances. Its fixture was made anew for that; this one keeps the forms of before.
- */
-const EARLIER_DAYS = ['archived-e499f66']
-const KEPT_DAYS = [...GOLDEN_DAYS.map((day) => day.name), ...EARLIER_DAYS]
-
 test('the day "archived" shows every place and type that it showed on e499f66', () => {
-	const earlier = JSON.parse(readFixture('day-archived-e499f66.json')) as Record<string, FormOfDay>
-	const present = JSON.parse(readFixture('day-archived.json')) as Record<string, FormOfDay>
+	const earlier = JSON.parse(readFixture('day-archived.json')) as Record<string, FormOfDay>
+	const present = JSON.parse(readFixture(`day-${PRESENT_ARCHIVED_DAY}.json`)) as Record<string, FormOfDay>
 	assert.deepEqual(Object.keys(present), Object.keys(earlier))
 	for (const [form, { features }] of Object.entries(earlier)) {
 		const missing = features.filter((feature) => !present[form].features.includes(feature))
