--- a/packages/controller/src/machine-monitor.ts
+++ b/packages/controller/src/machine-monitor.ts
@@ -30,6 +30,9 @@
 	jobsWait: boolean
 }
 
+/** No task can start on the machine before this owner has heard of it and its address is durable. */
+const awaitsFirstHeartbeat = ({ isHeard, addressRecorded }: Machine): boolean => !(isHeard && addressRecorded)
+
 /** Finds the machines that are to be returned, and expires the attempts of machines whose agent lease has ended. */
 export class MachineMonitor {
 	constructor(
@@ -63,7 +66,7 @@
 		machine.idleSince = isBusy ? null : (machine.idleSince ?? now)
 		if (machine.drainReason !== null) this.drain(machine, now)
 		if (isBusy || !machine.reconciled || !this.state.reconciled) return false
-		const mayGetWork = jobsWait && this.takesNoWorkYet(machine, now)
+		const mayGetWork = jobsWait && awaitsFirstHeartbeat(machine)
 		if (machine.drainReason === null && this.isIdleTooLong(machine, now) && !mayGetWork)
 			machine.drainReason = 'idle'
 		// Until they are durable, the outcomes of its ended tasks are on this machine only.
@@ -114,11 +117,6 @@
 		return false
 	}
 
-	/** Is it empty because no task can be placed on it until it is heard of or its address is durable? */
-	private takesNoWorkYet(machine: Machine, now: number): boolean {
-		return !machine.addressRecorded || !this.state.isHeard(machine, now)
-	}
-
 	private isIdleTooLong(machine: Machine, now: number): boolean {
 		if (machine.idleSince === null) return false
 		const { limits, tuning } = this.state.config
--- a/packages/controller/src/model.ts
+++ b/packages/controller/src/model.ts
@@ -64,6 +64,8 @@
 	/** a heartbeat under this owner's token was seen: what it does not list is not there */
 	reconciled: boolean
 	booted: boolean
+	/** this owner has received a heartbeat from it; an answer to a probe is none */
+	isHeard: boolean
 	agentEpoch: WireInteger
 	heartbeatSequence: WireInteger
 	/** latest time at which any controller can have answered one of its heartbeats */
--- a/packages/controller/src/new-machine.ts
+++ b/packages/controller/src/new-machine.ts
@@ -28,6 +28,7 @@
 		fencingToken,
 		groupName,
 		addressRecorded: address !== null,
+		isHeard: false,
 		reconciled: address === null,
 		booted: address !== null,
 		agentEpoch: 0,
--- a/packages/controller/src/state.ts
+++ b/packages/controller/src/state.ts
@@ -142,11 +142,6 @@
 	isSchedulable(machine: Machine, now: number): boolean {
 		if (!machine.booted || !machine.reconciled || !machine.addressRecorded) return false
 		if (machine.drainReason !== null || machine.releasing || machine.cordonedUntil > now) return false
-		return this.isHeard(machine, now)
-	}
-
-	/** Has the machine missed only a few heartbeats, if any, while this owner could receive them? */
-	isHeard(machine: Machine, now: number): boolean {
 		const silentMs = now - Math.max(machine.lastHeartbeatAt, this.listeningSince)
 		return silentMs <= this.config.limits.heartbeatMs * MAX_MISSED_HEARTBEATS
 	}
