--- a/tests/obsolete-records.test.ts
+++ b/tests/obsolete-records.test.ts
@@ -1,5 +1,5 @@
 /**
- * The removal of a machine from the records waited behind deletions of obsolete records (incident 28).
+ * The removal of a machine from the records waited behind deletions of obsolete records (incident 29).
  *
  * Both had the priority of progress, and a tick queues as many deletions as half of a controller's changes take until the
  * next one. A controller that crashed meanwhile left a machine on record that had been returned, and the shard's next
