--- a/tests/inspect.test.ts
+++ b/tests/inspect.test.ts
@@ -408,3 +408,27 @@
 	}
 	await assert.rejects(Effect.runPromise(listMachines(unavailable, REQUEST)), /cloud does not answer/)
 })
+
+test('a long list of machines is read to its end though more calls are refused than one page may have', async () => {
+	const machines = Array.from({ length: 4000 }, (_, i) => ({
+		uid: `i-${String(i).padStart(6, '0')}`,
+		status: 'running',
+		heldS: 600,
+	}))
+	let calls = 0
+	const httpClient: HttpClient = {
+		request: (_, __, path) => {
+			if (++calls % 2 === 1) return Effect.succeed({ status: 429, body: {}, retryAfterS: null })
+			const from = new URLSearchParams(path.split('?')[1]).get('from') ?? ''
+			const rest = machines.filter((machine) => machine.uid > from)
+			return Effect.succeed({
+				status: 200,
+				body: { hosts: rest.slice(0, 500), truncated: rest.length > 500 },
+				retryAfterS: null,
+			})
+		},
+	}
+	const listed = await Effect.runPromise(listMachines(httpClient, REQUEST))
+	assert.equal(listed.length, machines.length)
+	assert.equal(calls, 16, 'each of eight pages was refused once')
+})
--- a/tests/plugins.test.ts
+++ b/tests/plugins.test.ts
@@ -252,6 +252,31 @@
 		}, 5000)
 })
 
+test('a slot that ended has no timer of its opened circuit left', async () => {
+	const timers: { gone: boolean; atMs: number }[] = []
+	await runScenario(({ clock, slot, offer, ask, loggedEvents }) => {
+		offer({ version: '1', behave: (call) => call.fail('Error: no') })
+		clock.after(100, () => {
+			for (let index = 0; index < 6; index++) ask(`job-${index}`)
+		})
+		const { setTimeout: setVirtualTimeout } = globalThis
+		globalThis.setTimeout = ((...args: Parameters<typeof setTimeout>) => {
+			const timer = setVirtualTimeout(...args)
+			timers.push(timer as unknown as { gone: boolean; atMs: number })
+			return timer
+		}) as typeof setTimeout
+		clock.after(600, () => {
+			assert.ok(loggedEvents.includes('plug-in circuit opened'))
+			slot.end()
+			assert.deepEqual(
+				timers.filter(({ gone, atMs }) => !gone && atMs > clock.nowMs),
+				[],
+			)
+		})
+	}, 5000)
+	assert.ok(timers.length > 0)
+})
+
 test('a plug-in that hangs for one job answers for all others', async () => {
 	const results: { result: string | null }[] = []
 	await runScenario((scenario) => {
