--- a/packages/inspect/src/cloud-machines.ts
+++ b/packages/inspect/src/cloud-machines.ts
@@ -23,7 +23,7 @@
 
 /** Machines on one page of the list. */
 const MACHINES_PER_PAGE = 500
-/** Failed calls, of the whole list, after which reading it fails. */
+/** Failed calls in a row after which reading the list fails; with the machines grows the number of its pages. */
 const MAX_FAILURES = 5
 /** A machine is young for this many times the lag of the list: its record may be missing meanwhile. */
 const YOUNG_LAGS = 4
@@ -48,6 +48,7 @@
 					return yield* Effect.fail(new ServiceUnavailable('the cloud does not answer'))
 				continue
 			}
+			failures = 0
 			const hosts = body.hosts.filter(isMap)
 			for (const host of hosts) {
 				const id = String(host.uid)
--- a/packages/plugins/src/plugin-slot.ts
+++ b/packages/plugins/src/plugin-slot.ts
@@ -59,6 +59,8 @@
 	private latestCallId = 0
 	private isDispatching = false
 	private isDisabled = false
+	/** when opened circuits become half open, one for each version whose circuit is open */
+	private readonly halfOpenTimers = new Set<ReturnType<typeof setTimeout>>()
 
 	constructor(
 		readonly name: string,
@@ -142,6 +144,8 @@
 
 	/** Ends all versions and answers all pending calls. */
 	end(): void {
+		for (const timer of this.halfOpenTimers) clearTimeout(timer)
+		this.halfOpenTimers.clear()
 		this.rollout.shutDown('the controller ends')
 		this.dispatch()
 	}
@@ -304,7 +308,11 @@
 			ms,
 		})
 		// Without this, calls that are pending when the circuit becomes half open would wait for the next call.
-		setTimeout(() => this.dispatch(), ms + 1)
+		const timer = setTimeout(() => {
+			this.halfOpenTimers.delete(timer)
+			this.dispatch()
+		}, ms + 1)
+		this.halfOpenTimers.add(timer)
 	}
 
 	private faultRetryMs(instance: PluginInstance, subject: string): number {
