--- a/packages/server/src/record-reads.ts
+++ b/packages/server/src/record-reads.ts
@@ -76,7 +76,7 @@
 		waiter.done(ok)
 	}
 
-	/** Tells everybody who waits that it will not happen, and leaves no timer behind. */
+	/** Tells whoever waits for a revision that it will not be known here, gives up retries, and leaves no timer behind. */
 	stop(): void {
 		this.isStopped = true
 		for (const timer of this.retryTimers) clearTimeout(timer)
--- a/tests/inspect.test.ts
+++ b/tests/inspect.test.ts
@@ -368,18 +368,13 @@
 	assert.deepEqual(await findingsIn(restored), [])
 })
 
-const REQUEST = { address: 'cloud:1', callsPerS: 10_000, timeoutMs: 100 }
-
-test("the cloud's list: pages, refusals and lag; only what two lists agree on is reported", async () => {
-	const machines = Array.from({ length: 1200 }, (_, i) => ({
-		uid: `i-${String(i).padStart(6, '0')}`,
-		status: i === 7 ? 'failed' : 'running',
-		heldS: i === 8 ? 2 : 600,
-	}))
+/** A cloud that lists machines in pages of 500; `refuses`: which calls it answers with 429, the first is 1. */
+const createCloud = (machines: readonly { uid: string }[], refuses: (call: number) => boolean) => {
 	let calls = 0
 	const httpClient: HttpClient = {
 		request: (_, __, path) => {
-			if (++calls % 2 === 0) return Effect.succeed({ status: 429, body: {}, retryAfterS: null })
+			calls++
+			if (refuses(calls)) return Effect.succeed({ status: 429, body: {}, retryAfterS: null })
 			const from = new URLSearchParams(path.split('?')[1]).get('from') ?? ''
 			const rest = machines.filter((machine) => machine.uid > from)
 			return Effect.succeed({
@@ -389,7 +384,19 @@
 			})
 		},
 	}
-	const listed = await Effect.runPromise(listMachines(httpClient, REQUEST))
+	return { httpClient, calls: () => calls }
+}
+
+const REQUEST = { address: 'cloud:1', callsPerS: 10_000, timeoutMs: 100 }
+
+test("the cloud's list: pages, refusals and lag; only what two lists agree on is reported", async () => {
+	const machines = Array.from({ length: 1200 }, (_, i) => ({
+		uid: `i-${String(i).padStart(6, '0')}`,
+		status: i === 7 ? 'failed' : 'running',
+		heldS: i === 8 ? 2 : 600,
+	}))
+	const cloud = createCloud(machines, (call) => call % 2 === 0)
+	const listed = await Effect.runPromise(listMachines(cloud.httpClient, REQUEST))
 	assert.equal(listed.length, 1200)
 	const recorded = new Map(
 		listed
@@ -415,20 +422,8 @@
 		status: 'running',
 		heldS: 600,
 	}))
-	let calls = 0
-	const httpClient: HttpClient = {
-		request: (_, __, path) => {
-			if (++calls % 2 === 1) return Effect.succeed({ status: 429, body: {}, retryAfterS: null })
-			const from = new URLSearchParams(path.split('?')[1]).get('from') ?? ''
-			const rest = machines.filter((machine) => machine.uid > from)
-			return Effect.succeed({
-				status: 200,
-				body: { hosts: rest.slice(0, 500), truncated: rest.length > 500 },
-				retryAfterS: null,
-			})
-		},
-	}
-	const listed = await Effect.runPromise(listMachines(httpClient, REQUEST))
+	const cloud = createCloud(machines, (call) => call % 2 === 1)
+	const listed = await Effect.runPromise(listMachines(cloud.httpClient, REQUEST))
 	assert.equal(listed.length, machines.length)
-	assert.equal(calls, 16, 'each of eight pages was refused once')
+	assert.equal(cloud.calls(), 16, 'each of eight pages was refused once')
 })
