--- a/packages/client/src/job-watcher.ts
+++ b/packages/client/src/job-watcher.ts
@@ -39,7 +39,7 @@
 /** What a rejected cursor counts as, if it is not the first in a row. */
 const REJECTED_CURSOR: RetryableFailure = {
 	kind: 'retryable',
-	text: '',
+	text: 'the cursor was rejected',
 	retryAfterMs: null,
 	mayBeAccepted: true,
 	isUnreachable: false,
@@ -79,7 +79,7 @@
 			throwIfInterrupted(call)
 			if (end.kind === 'rejected') throw rejectionError(end, uid, false)
 			if (end.kind === 'restart') {
-				await this.beginAnew(progress, end.text, candidateCount, call)
+				await this.beginAnew(progress, candidateCount, call)
 				continue
 			}
 			failedGrpcTries = end.lacksGrpc ? failedGrpcTries + 1 : 0
@@ -97,7 +97,6 @@
 	 */
 	private async beginAnew(
 		progress: WatchProgress,
-		why: string,
 		addressCount: number,
 		call: InterruptibleCall,
 	): Promise<void> {
@@ -105,8 +104,8 @@
 		progress.hasGap = true
 		const tries = progress.rejectedCursors++
 		if (tries === 0) return
-		const failure = { ...REJECTED_CURSOR, text: why }
-		await delay(retryDelayMs({ tries, failure, addressCount, random: this.random }), call)
+		const retryContext = { tries, failure: REJECTED_CURSOR, addressCount, random: this.random }
+		await delay(retryDelayMs(retryContext), call)
 	}
 
 	private watchAt(
--- a/packages/controller/src/heartbeat-handler.ts
+++ b/packages/controller/src/heartbeat-handler.ts
@@ -58,7 +58,7 @@
 		this.dependencies.reconciler.reconcile(machine, heartbeat, { followsResponse: true })
 		// Counts from its arrival, whenever it is answered: a machine that waits for its first response is not silent.
 		machine.lastHeartbeatAt = now
-		machine.isHeard = true
+		machine.heartbeatReceived = true
 		machine.address = heartbeat.address
 		if (machine.drainReason === 'silent' && !machine.releasing) machine.drainReason = null
 		if (!machine.booted) this.onBooted(machine, now)
--- a/packages/controller/src/machine-monitor.ts
+++ b/packages/controller/src/machine-monitor.ts
@@ -30,8 +30,9 @@
 	jobsWait: boolean
 }
 
-/** No task can start on the machine before this owner has heard of it and its address is durable. */
-const awaitsFirstHeartbeat = ({ isHeard, addressRecorded }: Machine): boolean => !(isHeard && addressRecorded)
+/** Starts are sent in answers to heartbeats, and only to machines whose address is durable. */
+const cannotStartTasksYet = ({ heartbeatReceived, addressRecorded }: Machine): boolean =>
+	!(heartbeatReceived && addressRecorded)
 
 /** Finds the machines that are to be returned, and expires the attempts of machines whose agent lease has ended. */
 export class MachineMonitor {
@@ -66,7 +67,7 @@
 		machine.idleSince = isBusy ? null : (machine.idleSince ?? now)
 		if (machine.drainReason !== null) this.drain(machine, now)
 		if (isBusy || !machine.reconciled || !this.state.reconciled) return false
-		const mayGetWork = jobsWait && awaitsFirstHeartbeat(machine)
+		const mayGetWork = jobsWait && cannotStartTasksYet(machine)
 		if (machine.drainReason === null && this.isIdleTooLong(machine, now) && !mayGetWork)
 			machine.drainReason = 'idle'
 		// Until they are durable, the outcomes of its ended tasks are on this machine only.
--- a/packages/controller/src/model.ts
+++ b/packages/controller/src/model.ts
@@ -65,7 +65,7 @@
 	reconciled: boolean
 	booted: boolean
 	/** this owner has received a heartbeat from it; an answer to a probe is none */
-	isHeard: boolean
+	heartbeatReceived: boolean
 	agentEpoch: WireInteger
 	heartbeatSequence: WireInteger
 	/** latest time at which any controller can have answered one of its heartbeats */
--- a/packages/controller/src/new-machine.ts
+++ b/packages/controller/src/new-machine.ts
@@ -28,7 +28,7 @@
 		fencingToken,
 		groupName,
 		addressRecorded: address !== null,
-		isHeard: false,
+		heartbeatReceived: false,
 		reconciled: address === null,
 		booted: address !== null,
 		agentEpoch: 0,
--- a/packages/store/src/write-queue.ts
+++ b/packages/store/src/write-queue.ts
@@ -8,7 +8,7 @@
 
 /**
  * Lower goes first. A rental's record, one change for dozens of machines, goes before acceptances and cancellations, those
- * before outcomes and release marks, and progress goes last.
+ * before outcomes, release marks and removals of machines, and progress goes last.
  */
 export const WritePriority = { rental: 0, user: 1, outcome: 2, progress: 3 } as const
 
--- a/packages/testkit/src/mass-restart.ts
+++ b/packages/testkit/src/mass-restart.ts
@@ -1,6 +1,6 @@
 /**
  * Measures a mass restart in virtual time: all controllers crash at one moment while every machine runs tasks, and boot
- * again. Tells what the restart costs the controllers, and when all machines are heard and all waiting jobs run.
+ * again. Tells what the restart costs the controllers, and when all machines are answered and all waiting jobs run.
  */
 import { VirtualClock } from './clock.js'
 import { arrayJob, BOX_MACHINE_TYPE, type SimulatedDay, ZONES } from './simulated-day.js'
@@ -28,7 +28,7 @@
 	/** changes of the state, for each machine */
 	writesPerMachine: number
 	/** time until every machine's heartbeat was answered by its owner, in s; null: not before the end */
-	allHeardS: number | null
+	allAnsweredS: number | null
 	/** time until tasks of every job run, in s; null: not before the end */
 	allRunningS: number | null
 	/** share of all tasks that run at the end */
@@ -37,16 +37,18 @@
 	violations: readonly string[]
 }
 
+/** Timing of heartbeats and leases. */
 const TIMES = { reportS: 3, leaseS: 15, cancelS: 35 }
 /** Machines of one group; a rental brings no more. */
 const MACHINES_PER_GROUP = 50
 /** Tasks of one job; each takes one CPU. */
 const TASKS_PER_JOB = 100
 /**
- * Tasks of a machine, which leave one of its eight CPUs free: those that run for longer than the measurement, those that end about when the
- * controllers crash, and those that are submitted then and wait for their room.
+ * Tasks of a machine: those that run for longer than the measurement, those that end about when the controllers crash, and
+ * those that are submitted then and wait for room. They leave one of its eight CPUs free.
  */
 const TASKS_PER_MACHINE = { lasting: 5, ending: 2, waiting: 2 }
+/** Run time of these tasks, in s. */
 const RUN_S = { lasting: 10_000, ending: 55, waiting: 10_000 }
 /** The jobs of the beginning arrive in this time, in s: before empty machines are returned. */
 const SUBMISSION_S = { from: 0.6, until: 3 }
@@ -103,12 +105,12 @@
 	private readonly simulation: Simulation
 	private readonly processorTime: ProcessorTime
 	private readonly restartMs = (CRASH.atS + CRASH.downS) * MS_PER_S
-	private readonly heardMachines = new Set<string>()
+	private readonly answeredMachines = new Set<string>()
 	/** jobs that do not end before the measurement does */
 	private readonly lastingJobs: readonly string[]
 	private messages = 0
 	private writes = 0
-	private allHeardMs: number | null = null
+	private allAnsweredMs: number | null = null
 	private allRunningMs: number | null = null
 	private runningTasks = 0
 	private readonly heapBytes: number[] = []
@@ -180,7 +182,7 @@
 		simulation.trace = ({ kind, direction, other, head }) => {
 			if (!this.hasRestarted() || !simulation.workers.has(other.split(':')[0])) return
 			this.messages++
-			if (kind === 'answer' && direction === 'out' && head.startsWith('200')) this.heardMachines.add(other)
+			if (kind === 'answer' && direction === 'out' && head.startsWith('200')) this.answeredMachines.add(other)
 		}
 		clock.after(CRASH.atS * MS_PER_S - 1, () => this.sampleHeap(), null)
 		clock.after(this.restartMs - 1, () => this.sampleHeap(), null)
@@ -191,14 +193,15 @@
 		return this.clock.nowMs >= this.restartMs
 	}
 
-	/** Checks regularly whether all machines are heard and all tasks run. */
+	/** Checks regularly whether all machines are answered and all tasks run. */
 	private checkProgress(): void {
-		const { clock, simulation, heardMachines } = this
+		const { clock, simulation, answeredMachines } = this
 		const runningTasks = [...simulation.workers.values()].flatMap((worker) => [...worker.runningTasks()])
 		const runningJobs = new Set(runningTasks.map((task) => task.split('/')[0]))
 		this.runningTasks = runningTasks.length
 		if (this.lastingJobs.every((uid) => runningJobs.has(uid))) this.allRunningMs ??= clock.nowMs
-		if ([...simulation.workers.keys()].every((id) => heardMachines.has(id))) this.allHeardMs ??= clock.nowMs
+		if ([...simulation.workers.keys()].every((id) => answeredMachines.has(id)))
+			this.allAnsweredMs ??= clock.nowMs
 		clock.after(MS_PER_S / 2, () => this.checkProgress(), null)
 	}
 
@@ -221,7 +224,7 @@
 			controllerMb: without === undefined ? null : (withControllers - without) / controllers / BYTES_PER_MB,
 			messagesPerMachine: this.messages / machines,
 			writesPerMachine: this.writes / machines,
-			allHeardS: sinceRestartS(this.allHeardMs),
+			allAnsweredS: sinceRestartS(this.allAnsweredMs),
 			allRunningS: sinceRestartS(this.allRunningMs),
 			runningShare: this.runningTasks / (this.lastingJobs.length * TASKS_PER_JOB),
 			violations: this.simulation.invariants.violations,
--- a/scripts/measure-restart.mjs
+++ b/scripts/measure-restart.mjs
@@ -29,7 +29,7 @@
 	['MB', (result) => format(result.controllerMb, 1)],
 	['messages/machine', (result) => format(result.messagesPerMachine, 1)],
 	['writes/machine', (result) => format(result.writesPerMachine, 2)],
-	['all heard s', (result) => format(result.allHeardS, 1)],
+	['all answered s', (result) => format(result.allAnsweredS, 1)],
 	['all running s', (result) => format(result.allRunningS, 1)],
 	['running at the end', (result) => format(result.runningShare, 3)],
 ]
--- a/tests/golden-days.test.ts
+++ b/tests/golden-days.test.ts
@@ -17,7 +17,7 @@
 /**
  * The day "archived" as it goes now. Since issue 32 it goes another way than on e499f66: after a takeover machines are
  * kept while a job waits for them, the removal of a machine is written sooner, and look-ups precede some acceptances. The
- * fixture of e499f66 keeps the forms of before: they are still read and written alike, and the present day shows them all.
+ * fixture of e499f66 keeps the forms of before: they are still read and written alike, and the present days show them all.
  */
 const PRESENT_ARCHIVED_DAY = 'archived-present'
 const fixtureName = (dayName: string): string => (dayName === 'archived' ? PRESENT_ARCHIVED_DAY : dayName)
