Drop open jobs that no record names after a full read: they are over and archived

Seen: a controller that missed more changes than the state service keeps answered that done jobs are pending, and started a cancelled job again (`ran_cancelled` and `went_back`: broken rules).

Cause: a job of which it held only the acceptance ends and is archived while changes are missed. The full read shows neither the acceptance nor a terminal state; the removal of an acceptance was taken for housekeeping, and the job stayed open.

Why this works: an acceptance is removed only once its jobs are over or have own keys, an own key only once its job is over.

--- a/packages/cluster/src/job-registry.ts
+++ b/packages/cluster/src/job-registry.ts
@@ -202,6 +202,30 @@
 		return dropped
 	}
 
+	/**
+	 * Must be called when a full read is applied; returns the ids of open jobs that no record names any more. An acceptance is
+	 * removed only once the job is over or has a key of its own, and that key only once the job is over: such a job is over,
+	 * and its terminal state left the records while changes were missed here.
+	 */
+	dropUnnamedJobs(): string[] {
+		const uidsInBatches = this.uidsInBatches()
+		const unnamed = [...this.openJobs].filter((uid) =>
+			this.accepted.has(uid) ? !uidsInBatches.has(uid) : this.get(uid) === undefined,
+		)
+		for (const uid of unnamed) {
+			this.accepted.delete(uid)
+			this.openJobs.delete(uid)
+		}
+		return unnamed
+	}
+
+	private uidsInBatches(): Set<string> {
+		const uids = new Set<string>()
+		for (const [, entry] of this.cache.withPrefix(ACCEPTED_BATCH_PREFIX))
+			for (const { spec } of decodeAcceptedBatch(entry.data) ?? []) uids.add(spec.uid)
+		return uids
+	}
+
 	/** Terminal states of one page, each with the revision of the change that made it durable. */
 	*terminalJobsOnPage(key: string): Iterable<TerminalJob & { revision: number }> {
 		for (const { job, revision } of jobsOnPage(this.cache.get(key))) yield { ...job, revision }
@@ -209,9 +233,7 @@
 
 	/** Ids of jobs that records other than pages name, and would bring back if their terminal states were gone. */
 	referencedIds(): Set<string> {
-		const uids = new Set<string>()
-		for (const [, entry] of this.cache.withPrefix(ACCEPTED_BATCH_PREFIX))
-			for (const { spec } of decodeAcceptedBatch(entry.data) ?? []) uids.add(spec.uid)
+		const uids = this.uidsInBatches()
 		for (const [key] of this.cache.withPrefix(JOB_PREFIX)) uids.add(uidOfJobKey(key))
 		for (const [key] of this.cache.withPrefix(PROGRESS_PREFIX)) uids.add(uidOfProgressKey(key))
 		return uids
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -161,6 +161,12 @@
 		meaning: 'Terminal states went into the archive and left memory.',
 		action: 'None.',
 	},
+	'open jobs dropped': {
+		level: 'info',
+		meaning:
+			'Jobs that were open here are over and archived: this controller missed changes and read all records anew. `count` of them, and the first `uids`.',
+		action: 'Look why it missed more changes than the state service keeps: a long cut or standstill.',
+	},
 	'archive read failed': {
 		level: 'error',
 		meaning: 'A page of the archive could not be read.',
--- a/packages/server/src/record-dispatcher.ts
+++ b/packages/server/src/record-dispatcher.ts
@@ -14,6 +14,9 @@
 import type { MachineTypeCatalog } from './machine-type-catalog.js'
 import { RecordKind } from './record-kinds.js'
 
+/** Ids that one log line names at most. */
+const MAX_LOGGED_JOBS = 20
+
 /** One change of a key. */
 interface RecordChange {
 	key: string
@@ -70,6 +73,20 @@
 			for (const shard of this.consumers.shards.values()) shard.applyCancellation(uid)
 	}
 
+	/** A full read is applied: jobs that left the records while changes were missed here are over. */
+	onFullReadApplied(): void {
+		const { context, shards } = this.consumers
+		const uids = context.jobs.dropUnnamedJobs()
+		if (uids.length === 0) return
+		context.log('info', 'open jobs dropped', {
+			count: uids.length,
+			uids: uids.slice(0, MAX_LOGGED_JOBS),
+			revision: context.cache.revision,
+		})
+		// Whatever an owner decides about a job is known to it: it was cancelled by another controller.
+		for (const uid of uids) for (const shard of shards.values()) shard.applyCancellation(uid)
+	}
+
 	private onShardKeyChanged({ id }: RecordChange): void {
 		this.consumers.context.membership.onShardKeyChanged(Number(id))
 		this.consumers.observer()?.onShardChanged(Number(id))
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -142,6 +142,7 @@
 			this.archive.onFullRead(revision)
 			this.recordObserver?.onFullRead()
 		}
+		cache.onFullReadApplied = () => this.recordDispatcher.onFullReadApplied()
 		cache.onRevisionAdvanced = () => {
 			this.archive.onRevisionAdvanced()
 			this.reads.onRevisionAdvanced()
--- a/packages/store/src/watch-cache.ts
+++ b/packages/store/src/watch-cache.ts
@@ -42,6 +42,8 @@
 	retains: (key: string, data: unknown, modRevision: number) => boolean = () => true
 	/** Called before a full read is applied: changes since the last read may never be reported one by one. */
 	onFullRead: (revision: number) => void = () => {}
+	/** Called once a full read, and the changes that were made during it, are applied. */
+	onFullReadApplied: () => void = () => {}
 
 	/**
 	 * Linearizable reads begin at least `intervalMs` apart: otherwise each controller would read as fast as it is answered
@@ -159,6 +161,7 @@
 			this.onFullRead(firstRevision)
 			this.replaceAll(firstRevision, retained)
 			if (changes !== null) this.applyEvents(changes.revision, changes.log)
+			this.onFullReadApplied()
 			this.knownAsOf = Math.max(this.knownAsOf, sentAt)
 		})
 	}
--- a/packages/testkit/src/simulated-day.ts
+++ b/packages/testkit/src/simulated-day.ts
@@ -99,6 +99,8 @@
 	capacity?: number
 	/** the state service enforces its limits: 200 requests and 15 mutations a second */
 	stateLimits?: boolean
+	/** changes that the state service keeps for watches; all of them if not given */
+	watchLog?: number
 	/** calls a second that the cloud accepts; 4 if not given */
 	cloudRps?: number
 	/** the controllers' monotonic clocks drift apart by as much as the protocol allows */
--- a/packages/testkit/src/simulation.ts
+++ b/packages/testkit/src/simulation.ts
@@ -267,7 +267,7 @@
 	}
 
 	private createState(): FakeStateStore {
-		const state = new FakeStateStore(this.clock)
+		const state = new FakeStateStore(this.clock, this.day.watchLog)
 		state.taken = () => this.machines.deliverHeldHeartbeats()
 		const bucket = (perS: number) => new TokenBucket(perS, () => this.clock.nowMs)
 		if (this.day.stateLimits)
