Begin no stream whose jobs left memory during the look-ups of others

Seen by reading, while looking for the cause of the missed terminal event elsewhere: a stream by ids decides which of its jobs to look up in the archive, waits for the look-ups, and then begins. A job that was in memory at the decision and is archived, or dropped after a full read, during the wait is unknown when the stream begins: its terminal state is never delivered there, and the stream does not end.

The jobs are checked again once the look-ups have ended, in the same turn in which the stream begins; if one is unknown that was not looked up, the call fails as it does when the state cannot be read, and the reader comes again. The test fails without the change.

--- a/packages/grpc/src/service-records.ts
+++ b/packages/grpc/src/service-records.ts
@@ -120,11 +120,13 @@
 		const { jobs, archive } = this.service
 		const isUnknown = (uid: string) =>
 			jobs.get(uid) === undefined && this.terminalStates.get(uid) === undefined && !archive.provesAbsent(uid)
-		const unknownIds = uids.filter(isUnknown)
+		const unknownIds = new Set(uids.filter(isUnknown))
 		return Effect.forEach(unknownIds, (uid) => archive.lookUp(uid), { concurrency: 'unbounded' }).pipe(
 			Effect.map((results) => {
 				for (const result of results) if (typeof result !== 'string') this.retainArchived(result)
-				return !results.includes('unsure')
+				// A job may have left memory during the look-ups of others.
+				const hasLookedUpAll = uids.every((uid) => unknownIds.has(uid) || !isUnknown(uid))
+				return hasLookedUpAll && !results.includes('unsure')
 			}),
 		)
 	}
--- a/tests/missed-changes.test.ts
+++ b/tests/missed-changes.test.ts
@@ -10,7 +10,11 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { JobEvent, Selection } from '@heathroad/events'
+import { ServiceRecords } from '@heathroad/grpc'
+import { type ArchiveLookup, ordinalOf } from '@heathroad/history'
+import type { Service } from '@heathroad/server'
 import { arrayJob, Simulation, StreamReader, streamsOf } from '@heathroad/testkit'
+import { Effect } from 'effect'
 
 const CONTROLLERS = 3
 /** This controller is cut off from the state service, and misses more changes than are kept for watches. */
@@ -87,3 +91,39 @@
 			)
 	}
 })
+
+/**
+ * A stream of two jobs is prepared: the first is looked up in the archive, the second is in memory. Meanwhile the second
+ * leaves memory as well. A stream that began then would know nothing of it, and never deliver its terminal state.
+ */
+test('a stream does not begin if a job leaves memory while others are looked up', async () => {
+	const [archived, inMemory] = ['job-000901', 'job-000902']
+	const known = new Set([inMemory])
+	let finishLookUp: (found: ArchiveLookup) => void = () => {}
+	const service = {
+		jobs: {
+			get: (uid: string) => (known.has(uid) ? { record: { shardId: 0 }, modRevision: 1 } : undefined),
+			terminalRecord: () => undefined,
+			knownIds: () => [],
+		},
+		cache: { revision: 7 },
+		archive: {
+			provesAbsent: () => false,
+			lookUp: () =>
+				Effect.callback<ArchiveLookup>((resume) => {
+					finishLookUp = (found) => resume(Effect.succeed(found))
+				}),
+		},
+	} as unknown as Service
+	const records = new ServiceRecords(service, 10)
+	const found = { ordinal: ordinalOf(archived), aborted: false, taskCount: 1, doneCount: 1, revision: 3 }
+	const prepare = (whileLookingUp: () => void) =>
+		new Promise<boolean>((done) => {
+			records.prepare({ uids: [archived, inMemory] }, done)
+			whileLookingUp()
+			finishLookUp(found)
+		})
+	assert.equal(await prepare(() => known.delete(inMemory)), false)
+	known.add(inMemory)
+	assert.equal(await prepare(() => {}), true)
+})
