Connect the check of streams to no port of a crashed controller

Seen: in 1 of 160 runs of the check of streams, 16 at a time, a reader began anew and got 77 events after a gap. Cause: the client was told `cursor: not one of this installation and selection`, and no controller of that run had logged a rejected cursor. The proxy still connected to the port of a crashed controller, where a server of another run listened by then. The check uses the same job ids in every run, so a submission that goes astray would be a missing job.

A controller that ends has no port from that moment on, so connections are refused, as they are at a fixed address of a process that is down.

--- a/packages/testkit/src/grpc-servers.ts
+++ b/packages/testkit/src/grpc-servers.ts
@@ -5,7 +5,7 @@
 
 /** One server for every running incarnation, on a port of its own choosing. */
 export class GrpcServers {
-	/** the latest port of each controller; 0: none yet */
+	/** the port of each controller; 0: it does not listen, so that connections to it are refused */
 	readonly ports: number[]
 	private readonly servers: (GrpcServer | null)[]
 	/** A server that is still starting is stopped after that: stopped before, it would listen for ever. */
@@ -23,6 +23,8 @@
 			const server = this.servers[controller]
 			if (server !== null) this.stops.push(this.stop(server))
 			this.servers[controller] = null
+			// The port is free from now on: a server of any other program may listen there.
+			this.ports[controller] = 0
 		}
 	}
 
@@ -40,7 +42,7 @@
 	private start(controller: number, server: GrpcServer): void {
 		this.servers[controller] = server
 		const started = server.start().then((port) => {
-			this.ports[controller] = port
+			if (this.servers[controller] === server) this.ports[controller] = port
 		})
 		this.starts.set(server, started)
 	}
