Follow a watch over controllers by one id in their logs

The missing events of the check of streams could be accounted for only with a client and controllers instrumented for it: the logs said when a cursor was rejected, and nothing of streams that began and ended. A client now gives each watch an id, sent as metadata `watch-id` with every stream; controllers log `stream began` and `stream ended` (debug) and `stream cursor rejected` with it, with the cursor and the revision known there. Servers without it and clients without it are served alike.

--- a/packages/client/src/grpc.ts
+++ b/packages/client/src/grpc.ts
@@ -3,7 +3,7 @@
 	type ClientReadableStream,
 	type ClientUnaryCall,
 	credentials,
-	type Metadata,
+	Metadata,
 	type ServiceError,
 	status,
 } from '@grpc/grpc-js'
@@ -23,10 +23,10 @@
 	type Rejection,
 	type RejectionReason,
 	type RetryableFailure,
-	type Selection,
 	type StreamEnd,
 	stateFrom,
 	type Transport,
+	type WatchRequest,
 } from './transport.js'
 
 const REJECTION_BY_CODE = new Map<status, RejectionReason>([
@@ -124,15 +124,16 @@
 	}
 
 	async *watch(
-		selection: Selection,
-		cursor: string,
+		{ selection, cursor, watchId }: WatchRequest,
 		signal: AbortSignal,
 		onStart: (cursor: string) => void,
 	): AsyncGenerator<JobEvent, StreamEnd> {
 		const request = 'team' in selection ? { team: selection.team } : { uids: [...selection.uids] }
-		const call: ClientReadableStream<EventMessage> = this.client.Watch({ ...request, cursor })
-		call.on('metadata', (metadata: Metadata) => {
-			const [startCursor] = metadata.get('cursor')
+		const metadata = new Metadata()
+		metadata.set('watch-id', watchId)
+		const call: ClientReadableStream<EventMessage> = this.client.Watch({ ...request, cursor }, metadata)
+		call.on('metadata', (headers: Metadata) => {
+			const [startCursor] = headers.get('cursor')
 			if (startCursor !== undefined) onStart(String(startCursor))
 		})
 		const abort = () => call.cancel()
--- a/packages/client/src/job-watcher.ts
+++ b/packages/client/src/job-watcher.ts
@@ -1,4 +1,5 @@
 /** Watches jobs over streams, or by polling where there are none. */
+import { randomUUID } from 'node:crypto'
 import { DeadlineOver, NeedsGrpc, UnknownJob } from './errors.js'
 import { callSignal, delay, type InterruptibleCall, throwIfInterrupted } from './interruption.js'
 import { retryDelayMs } from './retry.js'
@@ -26,6 +27,8 @@
 
 /** Progress of one watch over all of its streams. */
 interface WatchProgress {
+	/** names the watch in the logs of controllers */
+	readonly watchId: string
 	/** where the next stream resumes; empty: it begins with the present state */
 	cursor: string
 	/** a stream had to begin anew */
@@ -66,6 +69,7 @@
 		const call = { uid, signal: callSignal(options.signal), mayBeAccepted: true }
 		if ('uids' in selection && selection.uids.length === 0) return
 		const progress: WatchProgress = {
+			watchId: randomUUID(),
 			cursor: options.cursor ?? '',
 			hasGap: false,
 			begunStreams: 0,
@@ -123,7 +127,8 @@
 			progress.begunStreams++
 			if (progress.cursor === '') progress.cursor = cursor
 		}
-		const events = transport.watch(selection, progress.cursor, call.signal, onStart)
+		const request = { selection, cursor: progress.cursor, watchId: progress.watchId }
+		const events = transport.watch(request, call.signal, onStart)
 		return this.stream(events, selection, progress)
 	}
 
--- a/packages/client/src/transport.ts
+++ b/packages/client/src/transport.ts
@@ -59,6 +59,15 @@
 /** The jobs to be watched: named ones, or all of a team. */
 export type Selection = { uids: readonly string[] } | { team: string }
 
+/** What one stream of a watch asks for. */
+export interface WatchRequest {
+	selection: Selection
+	/** where the stream resumes; empty: it begins with the present state */
+	cursor: string
+	/** the same for all streams of a watch, for the logs of the controllers that serve it one after the other */
+	watchId: string
+}
+
 /** How a stream ended. */
 export type StreamEnd =
 	/** every event was delivered */
@@ -79,8 +88,7 @@
 	 * begins, before the first event. Absent: the protocol has no streams.
 	 */
 	watch?(
-		selection: Selection,
-		cursor: string,
+		request: WatchRequest,
 		signal: AbortSignal,
 		onStart: (cursor: string) => void,
 	): AsyncGenerator<JobEvent, StreamEnd>
--- a/packages/grpc/src/watch-calls.ts
+++ b/packages/grpc/src/watch-calls.ts
@@ -46,6 +46,9 @@
 	return { uids: [...new Set(uids)] }
 }
 
+const selectionFields = (selection: Selection): object =>
+	'team' in selection ? { team: selection.team } : { uids: selection.uids.length }
+
 /** Runs all Watch calls of one controller. */
 export class WatchCalls {
 	private readonly admission: StreamAdmission
@@ -111,7 +114,8 @@
 		const stream = new WatchStream(call, {
 			scheduler: this.scheduler,
 			now: this.service.now,
-			onEnd: () => {
+			onEnd: ({ isComplete, cursor: endCursor }) => {
+				this.logStream('stream ended', stream, { isComplete, cursor: endCursor })
 				this.streams.delete(stream)
 				this.admission.release(accountedTeam, jobIdCount)
 			},
@@ -203,13 +207,29 @@
 			onEventsAvailable: () => stream.enqueue(),
 			onEnd: (reason) => stream.subscriptionEnded(reason),
 		})
-		if (typeof subscription === 'string') this.rejectCursor(stream, subscription, cursor)
-		else stream.start(subscription)
+		if (typeof subscription === 'string') {
+			this.rejectCursor(stream, subscription, cursor)
+			return
+		}
+		this.logStream('stream began', stream, { ...selectionFields(selection), cursor })
+		stream.start(subscription)
+	}
+
+	/** Logs what happens to one stream of a watch, which may have others at other controllers. */
+	private logStream(event: 'stream began' | 'stream ended', stream: WatchStream, fields: object): void {
+		const { watchId, peer } = stream
+		this.service.log('debug', event, { watchId, peer, revision: this.records.revision(), ...fields })
 	}
 
 	private rejectCursor(stream: WatchStream, why: SubscribeError, cursor: string): void {
 		const revision = this.records.revision()
-		this.service.log('info', 'stream cursor rejected', { why, peer: stream.peer, cursor, revision })
+		this.service.log('info', 'stream cursor rejected', {
+			why,
+			watchId: stream.watchId,
+			peer: stream.peer,
+			cursor,
+			revision,
+		})
 		stream.fail(CURSOR_FAILURES[why]())
 	}
 }
--- a/packages/grpc/src/watch-stream.ts
+++ b/packages/grpc/src/watch-stream.ts
@@ -14,6 +14,9 @@
 	'too far behind': () => failure(status.OUT_OF_RANGE, 'what comes next is not kept any more'),
 }
 
+/** Characters of a watch's id at most. */
+const MAX_WATCH_ID_CHARS = 40
+
 /** When a reader that takes nothing counts as stalled. */
 export interface StallLimits {
 	/** it has taken nothing for longer than this time, in ms */
@@ -27,8 +30,8 @@
 	scheduler: SendScheduler
 	/** steady time in ms */
 	now: () => number
-	/** called once, when the stream has ended for whatever reason */
-	onEnd: () => void
+	/** called once, when the stream has ended for whatever reason; `isComplete`: all that it can deliver was sent */
+	onEnd: (outcome: { isComplete: boolean; cursor: string }) => void
 }
 
 /** The stream of one reader. */
@@ -58,6 +61,11 @@
 		return this.call.getPeer()
 	}
 
+	/** The id that the client gave to its watch; the same for all of the watch's streams. Empty: it gave none. */
+	get watchId(): string {
+		return String(this.call.metadata.get('watch-id')[0] ?? '').slice(0, MAX_WATCH_ID_CHARS)
+	}
+
 	/** Begins to send the events of a subscription; ends it if the call has ended meanwhile. */
 	start(subscription: Subscription): void {
 		if (this.hasEnded) {
@@ -134,7 +142,9 @@
 		if (this.hasEnded) return
 		this.hasEnded = true
 		this.context.scheduler.remove(this)
-		this.subscription?.end(null)
-		this.context.onEnd()
+		const { subscription } = this
+		const outcome = { isComplete: subscription?.isComplete ?? false, cursor: subscription?.cursor() ?? '' }
+		subscription?.end(null)
+		this.context.onEnd(outcome)
 	}
 }
--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -200,6 +200,18 @@
 		action:
 			'For `out of range`: the reader was away for longer than terminal states are kept ([grpc] history), or this controller restarted since they were archived.',
 	},
+	'stream began': {
+		level: 'debug',
+		meaning:
+			"A stream of a watch began at `cursor`, or with the present state, at this `revision`. `watchId` is the client's, the same for all streams of a watch over all controllers.",
+		action: 'None.',
+	},
+	'stream ended': {
+		level: 'debug',
+		meaning:
+			'A stream of a watch ended and can be resumed at `cursor`. `isComplete`: the terminal state of every named job was sent.',
+		action: 'To follow a reader that missed an event: the lines of its `watchId` at all controllers.',
+	},
 	'slow stream closed': {
 		level: 'info',
 		meaning: 'A stream was closed because its reader did not keep up.',
--- a/tests/job-watcher.test.ts
+++ b/tests/job-watcher.test.ts
@@ -32,8 +32,10 @@
 /** A watcher at a server whose streams deliver what `streams` says, one after the other; the last one is repeated. */
 const createWatcher = (streams: readonly { events: JobEvent[]; end: StreamEnd; begins?: boolean }[]) => {
 	const cursors: string[] = []
+	const watchIds: string[] = []
 	const transport: Pick<Transport, 'watch'> = {
-		async *watch(_selection, cursor, _signal, onStart) {
+		async *watch({ cursor, watchId }, _signal, onStart) {
+			watchIds.push(watchId)
 			const { events, end, begins } = streams[Math.min(cursors.length, streams.length - 1)]
 			cursors.push(cursor)
 			await new Promise(setImmediate)
@@ -46,7 +48,7 @@
 		choose: async () => ({ transport, candidateCount: 1 }),
 		advance: () => {},
 	} as unknown as TransportPool
-	return { cursors, watcher: new JobWatcher(pool, {} as RetryingCaller, 1000, () => 0.5) }
+	return { cursors, watchIds, watcher: new JobWatcher(pool, {} as RetryingCaller, 1000, () => 0.5) }
 }
 
 test('a watcher whose cursor is rejected again and again backs off', async () => {
@@ -89,3 +91,15 @@
 	// 150 ms apart; with doubled delays the sixth would begin after 2.25 s.
 	assert.ok(cursors.length >= 6, `${cursors.length} streams in 1.5 s`)
 })
+
+test('all streams of a watch carry one id, and another watch has another', async () => {
+	const { watchIds, watcher } = createWatcher([
+		{ events: [], end: REJECTED },
+		{ events: [event('job-000001', 'done')], end: { kind: 'complete' } },
+	])
+	for (const _ of [1, 2])
+		for await (const _event of watcher.watch({ uids: ['job-000001'] }, { cursor: 'old' }));
+	assert.equal(watchIds.length, 3)
+	assert.equal(watchIds[0], watchIds[1])
+	assert.notEqual(watchIds[1], watchIds[2])
+})
