--- a/packages/testkit/src/stream-days.ts
+++ b/packages/testkit/src/stream-days.ts
@@ -81,6 +81,8 @@
 	refused(controller: number, why: string): void
 	/** an event arrived */
 	heard(controller: number, event: JobEvent): void
+	/** the stream ended as complete: it has delivered the terminal state of every named job */
+	completed?(controller: number): void
 }
 
 /** A reader that follows its selection over one stream after the other; its streams break at any moment. */
@@ -151,7 +153,10 @@
 		if (source === null) return
 		for (let taken = 0; this.subscription !== null && taken < EVENTS_PER_STEP; taken++) {
 			const event = this.subscription.next()
-			if (event === null) return
+			if (event === null) {
+				if (this.subscription.isComplete) this.observer.completed?.(source.controller)
+				return
+			}
 			this.observer.heard(source.controller, event)
 			this.cursor = event.cursor
 		}
