--- a/packages/logging/src/events.ts
+++ b/packages/logging/src/events.ts
@@ -209,7 +209,7 @@
 	'stream ended': {
 		level: 'debug',
 		meaning:
-			'A stream of a watch ended and can be resumed at `cursor`. `isComplete`: the terminal state of every named job was sent.',
+			'A stream of a watch ended and can be resumed at `cursor`; if that is empty, it never began. `isComplete`: the terminal state of every named job was sent.',
 		action: 'To follow a reader that missed an event: the lines of its `watchId` at all controllers.',
 	},
 	'slow stream closed': {
--- a/tests/crash-each-second.test.ts
+++ b/tests/crash-each-second.test.ts
@@ -1,9 +1,9 @@
 /**
  * Small jobs while a controller crashes about each second (incident 28, "not mended"). Owners of a shard live for a second or
  * two; its machines are up and empty, but none reaches an owner while it lives. The job then migrates to a shard whose
- * machines are being returned and are still in the records, which has to rent one and boot it under owners as short-lived.
+ * machines are being returned, which has to rent one and boot it under owners as short-lived.
  *
- * On seed 49 a job of a third of a second, accepted at 12.6 s, migrates at 17.0 s from shard 0, where four machines are up,
+ * On seed 49 a job of a third of a second, accepted at 12.6 s, migrates at 17.0 s from shard 0, whose machines are up,
  * to shard 1, whose three machines are returned from 16.0 s on, and has not run at 75 s.
  */
 import assert from 'node:assert/strict'
