Force the orders in which a state moves while its job is asked for, as failing tests

One controller of the real service; the state service holds requests back and carries out in between what another owner would write, by the same transactions.

--- a/tests/proof-of-absence.test.ts
+++ b/tests/proof-of-absence.test.ts
@@ -9,6 +9,7 @@
  */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { FINISHED, MovingWorld, ORDERS } from './absence-orders.js'
 import { crashDay } from './crash-days.js'
 
 /**
@@ -20,3 +21,25 @@
 	await simulation.play()
 	assert.deepEqual(simulation.invariants.violations, [])
 })
+
+const STATUS_PATH = `/v2/runs/${FINISHED}`
+/** A user who gets one of these knows the truth, or asks again. */
+const TRUE_ANSWERS = ['200 done', '503']
+/** When a question has long been answered and all changes are known, in ms after it. */
+const SETTLED_MS = 3000
+
+for (const order of ORDERS)
+	test(`a finished job is not answered as unknown: ${order.name}`, async () => {
+		const world = new MovingWorld(order)
+		const later: string[] = []
+		await world.play(() => {
+			world.request('GET', STATUS_PATH, undefined, (answer) => world.answers.push(answer))
+			world.simulation.clock.after(SETTLED_MS, () =>
+				world.request('GET', STATUS_PATH, undefined, (answer) => later.push(answer)),
+			)
+		})
+		assert.ok(world.isPlayed, 'the order was played')
+		assert.deepEqual(later, ['200 done'], 'once nothing moves')
+		assert.equal(world.answers.length, 1)
+		assert.ok(TRUE_ANSWERS.includes(world.answers[0]), world.answers[0])
+	})
