Answer where a job is in one module, in an order that no move of its state slips through

Cause: memory was looked at before the job's own key. The record migration moves terminal states the other way, from own keys to pages in memory: a state that moved between the two looks was in neither, and that was taken for a proof that the job was never accepted. Each caller put its own proof together (status, submission queue, streams by ids).

Change: JobLocator answers where a job is (open, terminal, archived, absent as of a revision, unknown) and is the only way to ask. It reads the own key first, then waits until memory has applied every change up to that read, then searches the archive. A full read that was applied meanwhile may have left states out: the own key is read again. Streams end at a full read, after which states may be missing, and begin anew where their readers come back. The reader of own keys and the reader of the archive are two modules now. An own key is read only if some full read has left a state out: a question for an unknown job costs one read less where none has.

The stand-ins of two tests have the new port (submission-queue, missed-changes) or the archive's narrower one (history, lab); their assertions are unchanged.

--- a/packages/grpc/src/service-records.ts
+++ b/packages/grpc/src/service-records.ts
@@ -9,7 +9,7 @@
 } from '@heathroad/cluster'
 import type { EventHub, JobRecords, OpenJob, Selection } from '@heathroad/events'
 import { type ArchivedJob, jobIdOf } from '@heathroad/history'
-import type { RecordObserver, Service } from '@heathroad/server'
+import type { JobLocation, RecordObserver, Service } from '@heathroad/server'
 import { KEY_PREFIX, WritePriority } from '@heathroad/store'
 import { Effect } from 'effect'
 
@@ -73,9 +73,11 @@
 		if (revision > this.revision()) this.hub?.jobChanged(uid)
 	}
 
+	/** States may have become terminal and left the records unseen: streams end, and begin anew where readers come back. */
 	onFullRead(): void {
 		this.mayLackArchivedStates = true
 		this.epochAtFullRead = null
+		this.hub?.endAll('not serving')
 	}
 
 	private addTerminalState(uid: string): void {
@@ -117,20 +119,31 @@
 	}
 
 	private loadArchived(uids: readonly string[]): Effect.Effect<boolean> {
-		const { jobs, archive } = this.service
-		const isUnknown = (uid: string) =>
-			jobs.get(uid) === undefined && this.terminalStates.get(uid) === undefined && !archive.provesAbsent(uid)
-		const unknownIds = new Set(uids.filter(isUnknown))
-		return Effect.forEach(unknownIds, (uid) => archive.lookUp(uid), { concurrency: 'unbounded' }).pipe(
-			Effect.map((results) => {
-				for (const result of results) if (typeof result !== 'string') this.retainArchived(result)
-				// A job may have left memory during the look-ups of others.
-				const hasLookedUpAll = uids.every((uid) => unknownIds.has(uid) || !isUnknown(uid))
-				return hasLookedUpAll && !results.includes('unsure')
+		const { jobLocator } = this.service
+		const unknownIds = new Set(uids.filter((uid) => this.needsSearch(uid)))
+		return Effect.forEach(unknownIds, (uid) => jobLocator.locate(uid), { concurrency: 'unbounded' }).pipe(
+			Effect.map((locations) => {
+				for (const location of locations) if (location.kind === 'archived') this.retainArchived(location.job)
+				// A job may have left memory during the searches for others.
+				const hasSearchedAll = uids.every((uid) => unknownIds.has(uid) || !this.needsSearch(uid))
+				return hasSearchedAll && locations.every((location) => this.isCurrent(location))
 			}),
 		)
 	}
 
+	/** Tells whether it takes a search to know a job's terminal state, or that the job was never accepted. */
+	private needsSearch(uid: string): boolean {
+		const { jobs, jobLocator } = this.service
+		const isKnown = jobs.get(uid) !== undefined || this.terminalStates.get(uid) !== undefined
+		return !isKnown && jobLocator.absentAsOf(uid) === null
+	}
+
+	/** A job that was absent before a full read may have been accepted and archived by then. */
+	private isCurrent(location: JobLocation): boolean {
+		if (location.kind === 'absent') return location.asOf >= this.service.archive.fullReadRevision()
+		return location.kind !== 'unknown'
+	}
+
 	/** Keeps the terminal state of an archived job that a stream names; the longest kept ones are dropped. */
 	private retainArchived(job: ArchivedJob): void {
 		const uid = jobIdOf(job.ordinal)
--- a/packages/grpc/src/unary-calls.ts
+++ b/packages/grpc/src/unary-calls.ts
@@ -80,8 +80,10 @@
 
 	/** A job's number of tasks from its records or its cached archive page; 0: neither has it. */
 	private taskCountOf(uid: string): number {
-		const record = this.service.jobs.get(uid)?.record
-		return record?.spec?.tasks ?? record?.taskCount ?? this.service.archive.cached(uid)?.taskCount ?? 0
+		const location = this.service.jobLocator.inMemory(uid)
+		if (location === null) return 0
+		if ('record' in location) return location.record.spec?.tasks ?? location.record.taskCount ?? 0
+		return location.kind === 'archived' ? location.job.taskCount : 0
 	}
 
 	/** Fails the call unless the id has the right form: only then may it become part of a path. */
--- a/packages/history/src/archive-reader.ts
+++ b/packages/history/src/archive-reader.ts
@@ -1,4 +1,4 @@
-/** Looks up jobs whose terminal states are not in memory any more. */
+/** Looks up jobs whose terminal states are in the archive. */
 
 import type { RequestPacer, StoreClient } from '@heathroad/store'
 import type { KeyValue } from '@heathroad/wire'
@@ -6,26 +6,12 @@
 import { ARCHIVE_PREFIX, levelOf } from './archive-keys.js'
 import { type ArchivePage, decodeArchivePage } from './archive-page.js'
 import type { ArchivedJob } from './archived-job.js'
-import {
-	type ArchiveLookup,
-	FIRST_LEVEL,
-	LEGACY_LEVEL,
-	LookupQueue,
-	type PendingLookup,
-} from './lookup-queue.js'
+import { type ArchiveLookup, FIRST_LEVEL, LookupQueue, type PendingLookup } from './lookup-queue.js'
 import { ordinalOf } from './ordinals.js'
 import { InvalidArchivePage, unpackJobs } from './packed-jobs.js'
 import { findInPacked } from './packed-lookup.js'
 import { type CachedPage, PageCache } from './page-cache.js'
 
-/** Where terminal states may lie that are not in memory. */
-export interface SearchScope {
-	/** jobs' own keys of the first record format, not migrated yet */
-	legacy: boolean
-	/** the levels of the archive */
-	levels: boolean
-}
-
 /** Limits on memory and reads. */
 export interface ArchiveReaderLimits {
 	/** of all cached pages' packed texts, in characters */
@@ -57,10 +43,13 @@
  * Answers look-ups of jobs that are terminal and not in memory: reads pages on demand, shares them between look-ups
  * and caches some.
  *
- * Terminal states never change and only ever move down the levels, so whatever is found anywhere is true, and whoever
- * reads from the top down misses none. Absence is proven only by pages that are new enough: on the first level, as new
- * as the last time a state of their range left memory, which the caller reports (`onLeftMemory`); on each further
- * level, as new as the page above, since what that page handed down is then in it.
+ * Within the archive, terminal states never change and only ever move down the levels, so whatever is found anywhere is
+ * true, and whoever reads from the top down misses none. Absence from the archive is proven only by pages that are new
+ * enough: on the first level, as new as the last time a state of their range left memory, which the caller reports
+ * (`onJobsLeftMemory`); on each further level, as new as the page above, since what that page handed down is then in it.
+ *
+ * Absence from the archive does not prove that a job was never accepted. Terminal states also move up: the record
+ * migration moves them from jobs' own keys to pages in memory. `JobLocator` looks at all places in a sound order.
  */
 export class ArchiveReader {
 	private readonly cache: PageCache
@@ -70,7 +59,7 @@
 
 	constructor(
 		private readonly client: Pick<StoreClient, 'list'>,
-		private readonly searchScope: () => SearchScope,
+		private readonly hasLevels: () => boolean,
 		private readonly pacer: RequestPacer,
 		private readonly limits: ArchiveReaderLimits,
 		private readonly onFailure: (cause: unknown) => void = () => {},
@@ -80,7 +69,6 @@
 			client,
 			pacer,
 			maxPagesPerRead: limits.maxPagesPerRead,
-			hasLevels: () => this.searchScope().levels,
 			advance: (lookup) => this.advance(lookup),
 			onPagesRead: (level, pages, revision) => this.cachePages(level, pages, revision),
 			onFailure,
@@ -94,7 +82,7 @@
 
 	/** The job's terminal state, if a cached page holds it. */
 	cached(uid: string): ArchivedJob | undefined {
-		if (!this.searchScope().levels) return undefined
+		if (!this.hasLevels()) return undefined
 		const ordinal = ordinalOf(uid)
 		for (let level = FIRST_LEVEL; ; level++) {
 			const cachedPage = this.cache.find(level, ordinal)
@@ -106,35 +94,18 @@
 		}
 	}
 
-	/** Do the cached pages prove, without any read, that the job was not archived? */
+	/** Do the cached pages prove, without any read, that the job is not archived? */
 	provesAbsent(uid: string): boolean {
-		const { legacy, levels } = this.searchScope()
-		if (legacy) return false
-		if (!levels) return true
-		const lookup: PendingLookup = {
-			uid,
-			ordinal: ordinalOf(uid),
-			level: FIRST_LEVEL,
-			minRevision: NO_REVISION,
-			resolve: () => {},
-		}
-		return this.advance(lookup) === 'absent'
+		return !this.hasLevels() || this.advance(this.firstStep(uid, () => {})) === 'absent'
 	}
 
-	/** The job's terminal state, wherever it lies; may take several reads. */
+	/** The job's archived terminal state; may take several reads. */
 	lookUp(uid: string): Effect.Effect<ArchiveLookup> {
 		return Effect.callback<ArchiveLookup>((resume) => {
-			const { legacy, levels } = this.searchScope()
 			const resolve = (result: ArchiveLookup) => resume(Effect.succeed(result))
-			if (!legacy && !levels) return resolve('absent')
-			const lookup: PendingLookup = {
-				uid,
-				ordinal: ordinalOf(uid),
-				level: legacy ? LEGACY_LEVEL : FIRST_LEVEL,
-				minRevision: NO_REVISION,
-				resolve,
-			}
-			const immediate = legacy ? null : this.advance(lookup)
+			if (!this.hasLevels()) return resolve('absent')
+			const lookup = this.firstStep(uid, resolve)
+			const immediate = this.advance(lookup)
 			if (immediate !== null) return resolve(immediate)
 			// A look-up that would wait for longer than any caller does is answered at once.
 			if (this.queue.size >= this.limits.maxPendingLookups) return resolve('unsure')
@@ -143,12 +114,16 @@
 		})
 	}
 
+	private firstStep(uid: string, resolve: (result: ArchiveLookup) => void): PendingLookup {
+		return { uid, ordinal: ordinalOf(uid), level: FIRST_LEVEL, minRevision: NO_REVISION, resolve }
+	}
+
 	/**
 	 * The latest revision at which an archived state became durable: -1 if nothing is archived, infinite if the archive is
 	 * too large to be read for that; null: it could not be read. States that are archived meanwhile may be left out.
 	 */
 	latestRevision(): Effect.Effect<number | null> {
-		if (!this.searchScope().levels) return Effect.succeed(NO_REVISION)
+		if (!this.hasLevels()) return Effect.succeed(NO_REVISION)
 		const read = Effect.sleep(this.pacer.reserveDelayMs()).pipe(
 			Effect.andThen(
 				Effect.suspend(() => this.client.list(ARCHIVE_PREFIX, null, this.limits.maxPagesPerRead)),
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -7,7 +7,7 @@
 	decodeArchivePage,
 	encodeArchivePage,
 } from './archive-page.js'
-export { ArchiveReader, type ArchiveReaderLimits, type SearchScope } from './archive-reader.js'
+export { ArchiveReader, type ArchiveReaderLimits } from './archive-reader.js'
 export {
 	type ArchivedJob,
 	ConflictingTerminalStates,
@@ -15,6 +15,7 @@
 	mergeArchivedJobs,
 } from './archived-job.js'
 export { Archiver, type ArchiverPorts } from './archiver.js'
+export { type LegacyRead, LegacyRecordReader } from './legacy-record-reader.js'
 export type { ArchiveLookup } from './lookup-queue.js'
 export type { ArchiveWriteLimits } from './merge-step.js'
 export { jobIdOf, ORDINAL_END, ORDINAL_WIDTH_CHARS, ordinalOf } from './ordinals.js'
--- a/packages/history/src/lookup-queue.ts
+++ b/packages/history/src/lookup-queue.ts
@@ -1,29 +1,30 @@
 /** Look-ups that wait for a read of the store, and the reads that serve them, one at a time and within the rate. */
 
 import type { RequestPacer, StoreClient, StoreFailure } from '@heathroad/store'
-import { KEY_PREFIX } from '@heathroad/store'
 import { Effect } from 'effect'
 import { archivePageKey, levelPrefix } from './archive-keys.js'
 import { type ArchivePage, decodeArchivePage, emptyLevel } from './archive-page.js'
 import type { ArchivedJob } from './archived-job.js'
-import { decodeLegacyTerminalState } from './legacy-record.js'
+import { SerialReads } from './serial-reads.js'
 
-/** What is known of a job that no record in memory names. */
+/** What the archive holds of a job. */
 export type ArchiveLookup =
 	| ArchivedJob
-	/** proven: the job was not archived when the look-up began */
+	/** proven: the job was not in the archive when the look-up began */
 	| 'absent'
 	/** cannot be determined now */
 	| 'unsure'
 
-/** The level of a look-up that still has to read the job's own key, of the first record format. */
-export const LEGACY_LEVEL = 0
 /** The first level of the archive. */
 export const FIRST_LEVEL = 1
 
 /** HTTP status of a request refused for its rate. */
 const TOO_MANY_REQUESTS = 429
 
+/** Tells whether the store refused a read for its rate, which is no outage. */
+export const isRateLimited = (failure: StoreFailure): boolean =>
+	failure._tag === 'RequestRejected' && failure.status === TOO_MANY_REQUESTS
+
 /** A look-up on its way down the levels. */
 export interface PendingLookup {
 	uid: string
@@ -42,8 +43,6 @@
 	pacer: RequestPacer
 	/** pages that one request reads at most */
 	maxPagesPerRead: number
-	/** is there anything in the levels of the archive? */
-	hasLevels(): boolean
 	/** continues a look-up through the cached pages; null: it needs a read at its level */
 	advance(lookup: PendingLookup): ArchiveLookup | null
 	/** takes the pages of one read, the first of which covers the look-up that asked for it */
@@ -55,10 +54,17 @@
 /** A queue of look-ups. One read serves all pending look-ups of the level of the first one. */
 export class LookupQueue {
 	private pending: PendingLookup[] = []
-	private reading = false
-	private readCount = 0
+	private readonly serialReads: SerialReads
 
-	constructor(private readonly ports: LookupQueuePorts) {}
+	constructor(private readonly ports: LookupQueuePorts) {
+		this.serialReads = new SerialReads(
+			ports.pacer,
+			() => this.pending.length > 0,
+			() => (this.pending.length === 0 ? null : this.readPages(this.pending[0])),
+			// A failed read or an invalid record resolves no look-up.
+			(cause) => ports.onFailure(cause),
+		)
+	}
 
 	/** Look-ups that wait. */
 	get size(): number {
@@ -67,13 +73,13 @@
 
 	/** Reads so far, for measurements. */
 	get reads(): number {
-		return this.readCount
+		return this.serialReads.count
 	}
 
 	/** Adds a look-up and reads for it in its turn. */
 	add(lookup: PendingLookup): void {
 		this.pending.push(lookup)
-		this.startRead()
+		this.serialReads.start()
 	}
 
 	/** Removes a look-up without resolving it. */
@@ -81,47 +87,8 @@
 		this.pending = this.pending.filter((other) => other !== lookup)
 	}
 
-	private startRead(): void {
-		if (this.reading || this.pending.length === 0) return
-		this.reading = true
-		const read = Effect.sleep(this.ports.pacer.reserveDelayMs()).pipe(
-			Effect.andThen(Effect.suspend(() => this.readForFirst())),
-			// A failed read or an invalid record resolves no look-up.
-			Effect.catchCause((cause) => Effect.sync(() => this.ports.onFailure(cause))),
-			Effect.map(() => {
-				this.reading = false
-				this.startRead()
-			}),
-		)
-		Effect.runFork(read)
-	}
-
-	private readForFirst() {
-		const [first] = this.pending
-		if (first === undefined) return Effect.void
-		this.readCount++
-		return first.level === LEGACY_LEVEL ? this.readLegacyRecord(first) : this.readPages(first)
-	}
-
-	/** Reads a job's own key, of the first record format. */
-	private readLegacyRecord(lookup: PendingLookup) {
-		const key = `${KEY_PREFIX}job/${lookup.uid}`
-		return this.ports.client.list(key, null, 1).pipe(
-			Effect.map(({ entries }) => {
-				const [entry] = entries
-				const found =
-					entry?.key === key ? decodeLegacyTerminalState(lookup.ordinal, entry.data, entry.modRevision) : null
-				if (found !== null) return this.resolve(lookup, found)
-				if (!this.ports.hasLevels()) return this.resolve(lookup, 'absent')
-				lookup.level = FIRST_LEVEL
-				this.advance(lookup)
-			}),
-			Effect.catch((failure) => Effect.sync(() => this.onReadFailed([lookup], failure))),
-		)
-	}
-
 	/** Reads the page that the first look-up needs, and following ones if more look-ups wait at its level. */
-	private readPages(first: PendingLookup) {
+	private readPages(first: PendingLookup): Effect.Effect<void> {
 		const { level } = first
 		const sameLevel = this.pending.filter((lookup) => lookup.level === level)
 		const pageCount = Math.max(1, Math.min(this.ports.maxPagesPerRead, sameLevel.length))
@@ -156,7 +123,7 @@
 
 	/** A read refused for its rate is no outage: the look-ups stay pending and are read for in a later turn. */
 	private onReadFailed(lookups: readonly PendingLookup[], failure: StoreFailure): void {
-		if (failure._tag === 'RequestRejected' && failure.status === TOO_MANY_REQUESTS) return
+		if (isRateLimited(failure)) return
 		for (const lookup of lookups) this.resolve(lookup, 'unsure')
 	}
 }
--- a/packages/server/src/archival-controller.ts
+++ b/packages/server/src/archival-controller.ts
@@ -1,16 +1,19 @@
 /** Terminal jobs of one controller: which are in memory, where the others are found, and their way into the archive. */
 import { HISTORY_KEY, RECORD_FORMAT } from '@heathroad/cluster'
 import { defaultHistorySettings } from '@heathroad/config'
-import { type ArchivedJob, type ArchiveLookup, ArchiveReader } from '@heathroad/history'
+import {
+	type ArchivedJob,
+	type ArchiveLookup,
+	ArchiveReader,
+	type LegacyRead,
+	LegacyRecordReader,
+} from '@heathroad/history'
 import type { StoreClient } from '@heathroad/store'
 import { Effect } from 'effect'
 import { ArchivalLoop } from './archival-loop.js'
 import { type ArchivalPorts, ArchivalWriter } from './archival-writer.js'
-import {
-	type ControllerContext,
-	type TerminalStateArchive,
-	USER_ANSWER_TIMEOUT_MS,
-} from './controller-context.js'
+import { type ArchivalStatus, type ControllerContext, USER_ANSWER_TIMEOUT_MS } from './controller-context.js'
+import type { SearchScope, TerminalStateArchive } from './job-locator.js'
 import { RecordMigration } from './record-migration.js'
 import { historyRecord, TerminalStateRetention } from './terminal-state-retention.js'
 
@@ -26,8 +29,9 @@
  * Composes archival: retention at full reads, look-ups, the archival loop and the migration of the first format. What is
  * decided is in `archival-policy.ts`, how the archive is written in `@heathroad/history`.
  */
-export class ArchivalController implements TerminalStateArchive {
+export class ArchivalController implements TerminalStateArchive, ArchivalStatus {
 	readonly reader: ArchiveReader
+	private readonly legacyReader: LegacyRecordReader
 	private readonly retention: TerminalStateRetention
 	private readonly writer: ArchivalWriter
 	private readonly loop: ArchivalLoop
@@ -41,20 +45,28 @@
 		const { limits, history } = context.config
 		const settings = history ?? defaultHistorySettings
 		const lookupReadsPerS = limits.readsPerS / READS_PER_LOOKUP_READ
+		const maxPendingLookups = Math.ceil(lookupReadsPerS * MAX_LOOKUP_WAIT_S)
+		const onReadFailed = (error: unknown) => this.writer.logError('archive read failed', error)
 		this.retention = new TerminalStateRetention(context, ports.onTerminalStateOmitted)
 		this.writer = new ArchivalWriter(context, ports, settings.writeRateShare)
 		this.loop = new ArchivalLoop(context, client, ports, this.writer, settings)
 		this.migration = new RecordMigration(context, client, ports, this.writer)
 		this.reader = new ArchiveReader(
 			client,
-			() => this.retention.searchScope(),
+			() => this.retention.searchScope().archive,
 			context.cache.readPacer,
 			{
 				maxCacheChars: settings.pageCacheMb * CHARS_PER_MB,
-				maxPendingLookups: Math.ceil(lookupReadsPerS * MAX_LOOKUP_WAIT_S),
+				maxPendingLookups,
 				maxPagesPerRead: MAX_PAGES_PER_READ,
 			},
-			(error) => this.writer.logError('archive read failed', error),
+			onReadFailed,
+		)
+		this.legacyReader = new LegacyRecordReader(
+			client,
+			context.cache.readPacer,
+			maxPendingLookups,
+			onReadFailed,
 		)
 	}
 
@@ -92,21 +104,28 @@
 		if (droppedJobs.length > 0) this.reader.onJobsLeftMemory(droppedJobs, this.context.cache.revision)
 	}
 
+	searchScope(): SearchScope {
+		return this.retention.searchScope()
+	}
+
+	fullReadRevision(): number {
+		return this.retention.fullReadRevision
+	}
+
+	readOwnKey(uid: string): Effect.Effect<LegacyRead> {
+		return this.legacyReader.read(uid)
+	}
+
 	cached(uid: string): ArchivedJob | undefined {
 		return this.reader.cached(uid)
 	}
 
 	lookUp(uid: string): Effect.Effect<ArchiveLookup> {
-		return this.reader.lookUp(uid).pipe(
-			Effect.timeoutOption(USER_ANSWER_TIMEOUT_MS),
-			Effect.map((found) => (found._tag === 'Some' ? found.value : 'unsure')),
-		)
+		return this.reader.lookUp(uid)
 	}
 
 	provesAbsent(uid: string): boolean {
-		// Without a record of the format nothing is archived, but a full read may have left out terminal states.
-		const isAllInMemory = historyRecord(this.context) === null && !this.retention.hasOmittedStates
-		return isAllInMemory || this.reader.provesAbsent(uid)
+		return this.reader.provesAbsent(uid)
 	}
 
 	latestRevision(): Effect.Effect<number | null> {
--- a/packages/server/src/controller-context.ts
+++ b/packages/server/src/controller-context.ts
@@ -2,26 +2,17 @@
 import type { CancellationLog, JobRecord, JobRegistry, MachineGroups, Membership } from '@heathroad/cluster'
 import type { Config } from '@heathroad/config'
 import type { AdmissionChecks, OfferAvailability, Shard } from '@heathroad/controller'
-import type { ArchivedJob, ArchiveLookup } from '@heathroad/history'
 import type { Log } from '@heathroad/logging'
 import type { WatchCache, WriteQueue } from '@heathroad/store'
 import type { JobSpec, MachineType } from '@heathroad/wire'
 import type { Effect } from 'effect'
+import type { JobLocator } from './job-locator.js'
 
 /** Time limit in ms for whatever a user's question waits for: users wait 2 s for the answer (protocol). */
 export const USER_ANSWER_TIMEOUT_MS = 1700
 
-/** Terminal jobs that are no longer in memory. */
-export interface TerminalStateArchive {
-	/** Returns a terminal state that takes no read; the id must match `JOB_ID_PATTERN`. */
-	cached(uid: string): ArchivedJob | undefined
-	/** Looks up the terminal state of a job that no record in memory names. */
-	lookUp(uid: string): Effect.Effect<ArchiveLookup>
-	/**
-	 * Tells, without a read, whether a job that no record in memory names is certainly not terminal, neither archived nor
-	 * left out of a full read, so that it can be accepted.
-	 */
-	provesAbsent(uid: string): boolean
+/** How far archival has come. */
+export interface ArchivalStatus {
 	/** Returns the revision of the latest archival epoch; 0: nothing is archived. */
 	archivalEpoch(): number
 	/**
@@ -62,7 +53,8 @@
 	readonly cancellations: CancellationLog
 	readonly machineGroups: MachineGroups
 	readonly offerAvailability: OfferAvailability
-	readonly archive: TerminalStateArchive
+	readonly archive: ArchivalStatus
+	readonly jobLocator: JobLocator
 	readonly shardRouter: JobRouting
 	/** the operators' admission checks; none unless settings ask for them */
 	readonly checks: AdmissionChecks
--- a/packages/server/src/job-status.ts
+++ b/packages/server/src/job-status.ts
@@ -5,6 +5,7 @@
 import { Effect } from 'effect'
 import type { ControllerContext } from './controller-context.js'
 import { NO_SUCH_JOB, retryLater } from './http-replies.js'
+import type { JobLocation } from './job-locator.js'
 
 const archivedStatus = (uid: string, { aborted, doneCount }: ArchivedJob): HttpReply => ({
 	status: 200,
@@ -41,28 +42,21 @@
 	/** Reads a job's status: 200 with the status, 404 for a job that nobody submitted, 503 if neither can be proven. */
 	read(uid: string): Effect.Effect<HttpReply> {
 		if (!JOB_ID_PATTERN.test(uid)) return Effect.succeed(NO_SUCH_JOB)
-		// A terminal state never changes: no newer answer can exist.
-		const record = this.record(uid)
-		if (record?.finalState !== undefined) return Effect.succeed(this.statusOf(uid, record))
-		const archived = record === null ? this.context.archive.cached(uid) : undefined
-		if (archived !== undefined) return Effect.succeed(archivedStatus(uid, archived))
-		return this.context
-			.linearizableRead()
-			.pipe(Effect.flatMap((isCurrent) => this.statusAfterRead(uid, isCurrent)))
+		return Effect.map(this.context.jobLocator.locateNow(uid), (location) => this.replyFor(uid, location))
 	}
 
-	private statusAfterRead(uid: string, isCurrent: boolean): Effect.Effect<HttpReply> {
-		const record = this.record(uid)
-		if (record?.finalState !== undefined) return Effect.succeed(this.statusOf(uid, record))
-		if (!isCurrent) return Effect.succeed(retryLater())
-		if (record !== null) return Effect.succeed(this.statusOf(uid, record))
-		// Not in memory as of now: it is archived, or nobody submitted it.
-		return this.context.archive.lookUp(uid).pipe(
-			Effect.map((found) => {
-				if (found === 'unsure') return retryLater()
-				return found === 'absent' ? NO_SUCH_JOB : archivedStatus(uid, found)
-			}),
-		)
+	private replyFor(uid: string, location: JobLocation): HttpReply {
+		switch (location.kind) {
+			case 'open':
+			case 'terminal':
+				return this.statusOf(uid, location.record)
+			case 'archived':
+				return archivedStatus(uid, location.job)
+			case 'absent':
+				return NO_SUCH_JOB
+			case 'unknown':
+				return retryLater()
+		}
 	}
 
 	/** Delays the confirmation of a cancellation until all the job's tasks are sure to be gone, whoever owns them by now. */
--- a/packages/server/src/job-submission.ts
+++ b/packages/server/src/job-submission.ts
@@ -44,7 +44,7 @@
 			return
 		}
 		const { uid } = spec
-		if (this.statusReader.record(uid) !== null || this.context.archive.cached(uid) !== undefined) {
+		if (this.context.jobLocator.inMemory(uid) !== null) {
 			this.runCall(this.statusReader.read(uid), respond)
 			return
 		}
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -18,12 +18,13 @@
 import type { HttpClient, MachineType } from '@heathroad/wire'
 import { Effect, Fiber } from 'effect'
 import { ArchivalController } from './archival-controller.js'
-import type { ControllerContext, RecordObserver } from './controller-context.js'
+import { type ControllerContext, type RecordObserver, USER_ANSWER_TIMEOUT_MS } from './controller-context.js'
 import { Drain } from './drain.js'
 import { isHealthy } from './health.js'
 import { HeartbeatRouter } from './heartbeat-router.js'
 import { type AdminHandler, internalRequestHandler, publicRequestHandler } from './http-routes.js'
 import { type HttpRequest, type RequestHandler, type Respond, startHttpServer } from './http-server.js'
+import { JobLocator } from './job-locator.js'
 import { LocalStatus } from './local-status.js'
 import { MachineTypeCatalog } from './machine-type-catalog.js'
 import { deleteObsoleteRecords } from './obsolete-records.js'
@@ -72,6 +73,7 @@
 	/** handles operators' calls from other processes, at the internal address; without one they are answered 404 */
 	adminHandler: AdminHandler | null = null
 	readonly archive: ArchivalController
+	readonly jobLocator: JobLocator
 	/** called if the records have a format that this program does not know; nothing may be done with them */
 	onUnsupportedFormat: (why: string) => void = () => {}
 	readonly cancellations: CancellationLog
@@ -119,6 +121,7 @@
 		this.membership = this.createMembership()
 		this.drain = new Drain(this.membership)
 		this.archive = this.createArchive()
+		this.jobLocator = new JobLocator(this, USER_ANSWER_TIMEOUT_MS)
 		this.recordDispatcher = this.createRecordDispatcher()
 		this.shardRouter = new ShardRouter(this)
 		this.workerProbe = new WorkerProbe(this, this.workerClient)
--- a/packages/server/src/submission-queue.ts
+++ b/packages/server/src/submission-queue.ts
@@ -1,11 +1,11 @@
 /** Queue that makes accepted jobs durable in batches, and the batch records that it writes them to. */
 import { type AcceptedJobRecord, acceptJobs, encodeJobRecord } from '@heathroad/cluster'
 import { maxValueChars } from '@heathroad/config'
-import type { ArchiveLookup } from '@heathroad/history'
 import { priorityRank } from '@heathroad/policy'
 import { type QueuedWrite, type TransactionContent, WritePriority, type WriteResult } from '@heathroad/store'
 import { Effect } from 'effect'
 import type { ControllerContext } from './controller-context.js'
+import type { JobLocation } from './job-locator.js'
 import { prefixOf, RecordKind } from './record-kinds.js'
 
 /** What became of a submission. */
@@ -28,9 +28,9 @@
 	bytes: number
 	/** steady time after which it is given up */
 	deadline: number
-	/** revision as of which it was proven that the job is not archived, or `UNPROVEN` */
+	/** revision as of which it was proven that the job was never accepted, or `UNPROVEN` */
 	provenAbsentAt: number
-	lookUpInFlight: boolean
+	searchInFlight: boolean
 	done: (outcome: SubmissionOutcome) => void
 }
 
@@ -88,7 +88,7 @@
 			bytes: JSON.stringify(encodeJobRecord(record)).length + 1,
 			deadline: this.context.now() + timeoutMs,
 			provenAbsentAt: UNPROVEN,
-			lookUpInFlight: false,
+			searchInFlight: false,
 			done,
 		}
 		this.pending.push(submission)
@@ -97,38 +97,38 @@
 	}
 
 	/**
-	 * Tells whether it is proven that the job is not archived. A write that accepts jobs holds only for the archival epoch in
-	 * which it is made, and what was archived before that epoch is covered by a proof from within it. Jobs that were
-	 * terminal and not archived then are in memory.
+	 * Tells whether it is proven that the job was never accepted, as of the present archival epoch. A write that accepts jobs
+	 * holds only for the epoch in which it is made. A job that is accepted elsewhere after the proof, and ends, stays on a
+	 * page in memory until the next epoch.
 	 */
 	private isProvenAbsent(submission: PendingSubmission): boolean {
-		const { archive, cache } = this.context
+		const { archive, jobLocator } = this.context
 		const { provenAbsentAt } = submission
 		if (provenAbsentAt >= archive.archivalEpoch() && provenAbsentAt >= 0) return true
-		if (!archive.provesAbsent(submission.record.spec.uid)) return false
-		submission.provenAbsentAt = cache.revision
+		const absentAsOf = jobLocator.absentAsOf(submission.record.spec.uid)
+		if (absentAsOf === null) return false
+		submission.provenAbsentAt = absentAsOf
 		return true
 	}
 
 	private proveAbsent(submission: PendingSubmission): void {
-		if (submission.lookUpInFlight) return
-		submission.lookUpInFlight = true
-		const revisionBefore = this.context.cache.revision
-		const lookUp = this.context.archive
-			.lookUp(submission.record.spec.uid)
-			.pipe(Effect.map((found) => this.onLookedUp(submission, found, revisionBefore)))
-		Effect.runFork(lookUp)
+		if (submission.searchInFlight) return
+		submission.searchInFlight = true
+		const search = this.context.jobLocator
+			.locate(submission.record.spec.uid)
+			.pipe(Effect.map((location) => this.onLocated(submission, location)))
+		Effect.runFork(search)
 	}
 
-	private onLookedUp(submission: PendingSubmission, found: ArchiveLookup, revisionBefore: number): void {
-		submission.lookUpInFlight = false
+	private onLocated(submission: PendingSubmission, location: JobLocation): void {
+		submission.searchInFlight = false
 		if (!this.pending.includes(submission)) return
-		if (found === 'absent') {
-			submission.provenAbsentAt = revisionBefore
+		if (location.kind === 'absent') {
+			submission.provenAbsentAt = location.asOf
 			this.flush()
 			return
 		}
-		this.settle(new Set([submission]), found === 'unsure' ? 'refused' : 'unclear')
+		this.settle(new Set([submission]), location.kind === 'unknown' ? 'refused' : 'unclear')
 	}
 
 	private isKnown(submission: PendingSubmission): boolean {
--- a/packages/server/src/terminal-state-retention.ts
+++ b/packages/server/src/terminal-state-retention.ts
@@ -7,8 +7,8 @@
 	type HistoryRecord,
 	type JobRecord,
 } from '@heathroad/cluster'
-import type { SearchScope } from '@heathroad/history'
 import type { ControllerContext } from './controller-context.js'
+import type { SearchScope } from './job-locator.js'
 import { prefixOf, RecordKind } from './record-kinds.js'
 
 const JOB_PREFIX = prefixOf(RecordKind.job)
@@ -30,7 +30,9 @@
 	/** jobs that the full read in progress has met in accepted batches */
 	private readonly jobsInBatches = new Set<string>()
 	/** whether any full read so far has left out terminal states of the first format */
-	hasOmittedStates = false
+	private hasOmittedStates = false
+	/** revision of the latest full read; -1: there was none */
+	fullReadRevision = -1
 
 	/** `onOmitted`: called for every terminal state that a full read leaves out. */
 	constructor(
@@ -43,7 +45,7 @@
 	/** Returns where terminal states may be that are not in memory. */
 	searchScope(): SearchScope {
 		const record = historyRecord(this.context)
-		return { legacy: this.omitsLegacyStates && (record?.legacy ?? true), levels: record !== null }
+		return { ownKeys: this.hasOmittedStates && (record?.legacy ?? true), archive: record !== null }
 	}
 
 	/**
@@ -73,6 +75,7 @@
 
 	/** A full read is complete: changes between the last known one and `revision` may never be notified. */
 	onFullRead(revision: number): void {
+		this.fullReadRevision = revision
 		this.jobsInBatches.clear()
 		if (this.omittedCancellations) this.context.cancellations.markIncompleteUpTo(revision)
 		this.omittedCancellations = false
--- a/tests/history.test.ts
+++ b/tests/history.test.ts
@@ -80,7 +80,7 @@
 }
 
 const NO_PACING = () => new RequestPacer(0, () => 0)
-const LEVELS_ONLY = () => ({ legacy: false, levels: true })
+const HAS_LEVELS = () => true
 
 /** Resolves a look-up of each job, all at once. */
 const lookUpAll = (reader: ArchiveReader, uids: readonly string[]): Promise<ArchiveLookup[]> =>
@@ -210,7 +210,7 @@
 				const expected = new Map<string, ArchivedJob>()
 				let drawCount = 0
 				const archiver = makeUnreliableArchiver(store, () => draws[drawCount++ % draws.length])
-				const reader = new ArchiveReader(store, LEVELS_ONLY, NO_PACING(), {
+				const reader = new ArchiveReader(store, HAS_LEVELS, NO_PACING(), {
 					maxCacheChars: 1500,
 					maxPendingLookups: 1000,
 					maxPagesPerRead: 4,
@@ -264,7 +264,7 @@
 	const levels = [1, 2].map((level) => store.entries(`heathroad-past/${level}/`))
 	assert.ok(levels[0].length <= 64, `${levels[0].length} pages of the first level`)
 	assert.ok(levels[1].length > 64, `${levels[1].length} pages of the second`)
-	const reader = new ArchiveReader(store, LEVELS_ONLY, NO_PACING(), {
+	const reader = new ArchiveReader(store, HAS_LEVELS, NO_PACING(), {
 		maxCacheChars: 40_000,
 		maxPendingLookups: 10_000,
 		maxPagesPerRead: 16,
@@ -277,7 +277,7 @@
 test('look-ups beyond the limit of pending ones are answered as unsure at once', async () => {
 	const store = makeStore()
 	const unresponsive: Pick<StoreClient, 'list'> = { list: () => Effect.never }
-	const reader = new ArchiveReader(unresponsive, LEVELS_ONLY, NO_PACING(), {
+	const reader = new ArchiveReader(unresponsive, HAS_LEVELS, NO_PACING(), {
 		maxCacheChars: 1000,
 		maxPendingLookups: 3,
 		maxPagesPerRead: 4,
@@ -309,7 +309,7 @@
 	const failures: unknown[] = []
 	const reader = new ArchiveReader(
 		store,
-		LEVELS_ONLY,
+		HAS_LEVELS,
 		NO_PACING(),
 		{ maxCacheChars: 10_000, maxPendingLookups: 9, maxPagesPerRead: 4 },
 		(failure) => failures.push(failure),
@@ -335,7 +335,7 @@
 		let tries = 0
 		const list: StoreClient['list'] = (...args) =>
 			++tries < 3 ? Effect.fail(new RequestRejected({ status })) : store.list(...args)
-		const reader = new ArchiveReader({ list }, LEVELS_ONLY, NO_PACING(), {
+		const reader = new ArchiveReader({ list }, HAS_LEVELS, NO_PACING(), {
 			maxCacheChars: 1000,
 			maxPendingLookups: 3,
 			maxPagesPerRead: 4,
--- a/tests/lab.test.ts
+++ b/tests/lab.test.ts
@@ -57,16 +57,11 @@
 		},
 	}
 	const client = createStoreClient(caller, 'state:1', 1000, () => {})
-	const recall = new ArchiveReader(
-		client,
-		() => ({ legacy: false, levels: true }),
-		new RequestPacer(0, () => 0),
-		{
-			maxCacheChars: 100_000,
-			maxPendingLookups: 1000,
-			maxPagesPerRead: 16,
-		},
-	)
+	const recall = new ArchiveReader(client, () => true, new RequestPacer(0, () => 0), {
+		maxCacheChars: 100_000,
+		maxPendingLookups: 1000,
+		maxPagesPerRead: 16,
+	})
 	const found = await Effect.runPromise(
 		Effect.forEach(sample, (p) => recall.lookUp(jobIdOf(p.ordinal)), { concurrency: 'unbounded' }),
 	)
--- a/tests/missed-changes.test.ts
+++ b/tests/missed-changes.test.ts
@@ -12,7 +12,7 @@
 import type { JobEvent, Selection } from '@heathroad/events'
 import { ServiceRecords } from '@heathroad/grpc'
 import { type ArchiveLookup, ordinalOf } from '@heathroad/history'
-import type { Service } from '@heathroad/server'
+import { JobLocator, type Service } from '@heathroad/server'
 import { arrayJob, Simulation, StreamReader, streamsOf } from '@heathroad/testkit'
 import { Effect } from 'effect'
 
@@ -100,7 +100,7 @@
 	const [archived, inMemory] = ['job-000901', 'job-000902']
 	const known = new Set([inMemory])
 	let finishLookUp: (found: ArchiveLookup) => void = () => {}
-	const service = {
+	const parts = {
 		jobs: {
 			get: (uid: string) => (known.has(uid) ? { record: { shardId: 0 }, modRevision: 1 } : undefined),
 			terminalRecord: () => undefined,
@@ -108,13 +108,18 @@
 		},
 		cache: { revision: 7 },
 		archive: {
+			searchScope: () => ({ ownKeys: false, archive: true }),
+			fullReadRevision: () => 1,
+			cached: () => undefined,
 			provesAbsent: () => false,
 			lookUp: () =>
 				Effect.callback<ArchiveLookup>((resume) => {
 					finishLookUp = (found) => resume(Effect.succeed(found))
 				}),
 		},
-	} as unknown as Service
+	}
+	const jobLocator = new JobLocator(parts as unknown as Service, 1000)
+	const service = { ...parts, jobLocator } as unknown as Service
 	const records = new ServiceRecords(service, 10)
 	const found = { ordinal: ordinalOf(archived), aborted: false, taskCount: 1, doneCount: 1, revision: 3 }
 	const prepare = (whileLookingUp: () => void) =>
--- a/tests/submission-queue.test.ts
+++ b/tests/submission-queue.test.ts
@@ -3,13 +3,22 @@
 import { test } from 'node:test'
 import type { JobRecord } from '@heathroad/cluster'
 import { DEFAULT_OPERATOR_SETTINGS, deriveLimits } from '@heathroad/config'
-import { type ControllerContext, type SubmissionOutcome, SubmissionQueue } from '@heathroad/server'
+import {
+	type ControllerContext,
+	JobLocator,
+	type JobLocatorPorts,
+	type SubmissionOutcome,
+	SubmissionQueue,
+} from '@heathroad/server'
 import { KEY_PREFIX, type QueuedWrite, type TransactionContent, type WriteResult } from '@heathroad/store'
 import { arrayJob, plainSettings } from '@heathroad/testkit'
 import { Effect } from 'effect'
 
 type LookUpResult = 'absent' | 'unsure'
 
+/** A search for a job ends as unknown after this time; no search of these tests takes as long. */
+const SEARCH_TIMEOUT_MS = 60_000
+
 /** A submission queue over records, writes and look-ups that the test controls. */
 const createHarness = () => {
 	const settings = plainSettings('ctl-0')
@@ -19,7 +28,7 @@
 	const state = { revision: 5, archivalEpoch: 3, provesAbsent: true }
 	const pendingLookUps: ((result: LookUpResult) => void)[] = []
 	const entries = new Map<string, { data: unknown; modRevision: number }>()
-	const context = {
+	const parts = {
 		config: { settings, ...DEFAULT_OPERATOR_SETTINGS, limits: deriveLimits(settings) },
 		now: () => 0,
 		membership: { incarnation: 'a' },
@@ -36,6 +45,9 @@
 		},
 		archive: {
 			archivalEpoch: () => state.archivalEpoch,
+			searchScope: () => ({ ownKeys: false, archive: true }),
+			fullReadRevision: () => 1,
+			cached: () => undefined,
 			provesAbsent: () => state.provesAbsent,
 			lookUp: () =>
 				Effect.callback((resume) => void pendingLookUps.push((result) => resume(Effect.succeed(result)))),
@@ -44,7 +56,9 @@
 		waitForRevision: (revision: number, done: (ok: boolean) => void) =>
 			void revisionWaiters.push({ revision, done }),
 		refreshCache: (done: () => void) => done(),
-	} as unknown as ControllerContext
+	}
+	const jobLocator = new JobLocator(parts as unknown as JobLocatorPorts, SEARCH_TIMEOUT_MS)
+	const context = { ...parts, jobLocator } as unknown as ControllerContext
 	const outcomes: Record<string, SubmissionOutcome> = {}
 	const queue = new SubmissionQueue(context)
 	const submit = (uid: string) =>
