Ask every caller in the forced orders, as failing tests: a finished job runs again, a submission has no answer

Cancellation and status over gRPC fail as the status over HTTP does; refused submissions of a finished job are answered with 422. A repeated submission is accepted anew and the job runs twice where the state is archived before the acceptance is carried out. A submission whose look-up meets a new archival epoch gets no answer.

--- a/tests/absence-orders.ts
+++ b/tests/absence-orders.ts
@@ -14,12 +14,16 @@
 /** Other finished jobs, of later revisions. */
 const OTHERS = ['job-000011', 'job-000012', 'job-000013', 'job-000014', 'job-000015']
 const SHARD = 0
+/** The controller that is asked. */
+const ASKED = 0
 /** When the question is asked, and until when the watch is held at the latest, in seconds. */
 export const ASKED_AT_S = 5.4
 const HELD_UNTIL_S = 6.4
 const UNTIL_S = 9.5
 const TOO_MANY_REQUESTS: FakeResponse = { status: 429, body: {} }
 const COMPACTED: FakeResponse = { status: 410, body: {} }
+/** How often machines and controllers are looked at, in ms. */
+const LOOK_FOR_RUNS_MS = 500
 /** How often the test looks whether something is in memory, in ms. */
 const LOOK_MS = 5
 
@@ -47,6 +51,16 @@
 			JSON.stringify(mutation.data).includes(FINISHED),
 	)
 
+/** What differs from a day of one controller that is asked for the finished job. */
+export interface WorldOptions {
+	untilS?: number
+	/** the job whose look-up is followed */
+	uid?: string
+	/** all but the first see every change at once */
+	controllers?: number
+	onStarted?: (world: MovingWorld, node: Service) => void
+}
+
 /** One day in one order. */
 export class MovingWorld {
 	readonly simulation: Simulation
@@ -58,6 +72,10 @@
 	isPlayed = false
 	/** all keys were read after the question */
 	hasReadAll = false
+	/** a machine ran a task of the finished job */
+	hasRunAgain = false
+	/** a controller held the finished job for open */
+	wasOpenAgain = false
 	private currentNode: Service | null = null
 	private isAsked = false
 	private isLevelRead = false
@@ -65,12 +83,16 @@
 	private heldReplies: (() => void)[] | null = null
 	private isCompacted = false
 
+	private readonly uid: string
+	/** controllers that are not asked */
+	private readonly followers: Service[] = []
+
 	constructor(
 		private readonly order: Order,
-		onStarted: (world: MovingWorld, node: Service) => void = () => {},
-		untilS = UNTIL_S,
+		{ untilS = UNTIL_S, uid = FINISHED, controllers = 1, onStarted = () => {} }: WorldOptions = {},
 	) {
-		const day = { seed: 11, untilS, jobs: [], faults: [], controllers: 1, up: 4, capacity: 0 }
+		this.uid = uid
+		const day = { seed: 11, untilS, jobs: [], faults: [], controllers, up: 4, capacity: 0 }
 		this.simulation = new Simulation(day)
 		const { state } = this.simulation
 		const need = { team: 'core', cpus: 1, gpus: 0, ramGb: 1 }
@@ -82,7 +104,11 @@
 			SHARD,
 		)
 		this.simulation.tell = (line) => this.log.push(line)
-		this.simulation.started = (_, node) => {
+		this.simulation.started = (controller, node) => {
+			if (controller !== ASKED) {
+				this.followers.push(node)
+				return
+			}
 			this.currentNode = node
 			onStarted(this, node)
 		}
@@ -103,12 +129,18 @@
 			ask(this)
 		})
 		clock.after(HELD_UNTIL_S * 1000, () => this.releaseWatch())
+		this.lookForRuns()
 		await this.simulation.play()
 	}
 
 	/** Asks over HTTP; the answer is `STATUS` or `STATUS STATE`. */
-	request(method: string, path: string, body: unknown, done: (answer: string) => void): void {
-		void this.simulation.sendRequest(0, method, path, body).then((response) => {
+	request(
+		method: string,
+		path: string,
+		body?: unknown,
+		done = (answer: string) => void this.answers.push(answer),
+	): void {
+		void this.simulation.sendRequest(ASKED, method, path, body).then((response) => {
 			const state = (response?.body as { status?: string } | undefined)?.status
 			done([response?.status ?? 'none', ...(state === undefined ? [] : [state])].join(' '))
 		})
@@ -141,15 +173,24 @@
 		return this.node.jobs.isOnTerminalPage(FINISHED)
 	}
 
+	private lookForRuns(): void {
+		for (const worker of this.simulation.workers.values())
+			for (const task of worker.runningTasks()) if (task.startsWith(FINISHED)) this.hasRunAgain = true
+		const nodes = [...this.followers, ...(this.currentNode === null ? [] : [this.currentNode])]
+		if (nodes.some(({ jobs }) => jobs.openJobs.has(FINISHED))) this.wasOpenAgain = true
+		this.simulation.clock.after(LOOK_FOR_RUNS_MS, () => this.lookForRuns())
+	}
+
 	/** Moves the finished job's state to a page. */
 	move(): void {
 		this.others.moveToPage(FINISHED)
 	}
 
-	/** Closes the page and moves it to the archive. */
-	archive(): void {
+	/** Closes the page and moves it to the archive; calls back once the controllers that are not asked know that. */
+	archive(done: () => void = () => {}): void {
 		this.others.moveToPage(OTHERS[0])
-		this.others.archivePages()
+		const revision = this.others.archivePages()
+		this.once(() => this.followers.every(({ cache }) => cache.revision >= revision), done)
 	}
 
 	/** Writes the record of the format. */
@@ -157,19 +198,26 @@
 		this.others.write(advanceArchivalEpoch(this.others, { format: 2, archivalEpoch: 1, legacy: true }))
 	}
 
+	/** Begins the next archival epoch, and returns its revision. */
+	beginEpoch(): number {
+		return this.others.write(advanceArchivalEpoch(this.others, { format: 2, archivalEpoch: 2, legacy: true }))
+	}
+
 	private onRequest(request: HeldRequest): void {
-		const { path } = request
-		if (path.startsWith('/watch')) request.serve((response) => this.onWatchAnswered(request, response))
-		// The migration of the asked controller itself has to wait.
+		const { path, client } = request
+		if (path.startsWith('/watch') && client === ASKED)
+			request.serve((response) => this.onWatchAnswered(request, response))
+		// The controllers' own migration has to wait.
 		else if (path.startsWith(`/store?under=${KEY_PREFIX}job/&`)) request.reply(TOO_MANY_REQUESTS)
-		else this.serveInOrder(request)
+		else if (client === ASKED) this.serveInOrder(request)
+		else request.serve()
 	}
 
 	private serveInOrder(request: HeldRequest): void {
 		const { path, body } = request
 		const { order } = this
 		if (this.isAsked && path.startsWith(`/store?under=${KEY_PREFIX}&`)) this.hasReadAll = true
-		if (this.isAsked && !this.isPlayed && path.startsWith(`/store?under=${KEY_PREFIX}job/${FINISHED}&`)) {
+		if (this.isAsked && !this.isPlayed && path.startsWith(`/store?under=${KEY_PREFIX}job/${this.uid}&`)) {
 			this.isPlayed = true
 			order.onKeyRead(this, request)
 		} else if (this.isPlayed && !this.isLevelRead && path.startsWith('/store?under=heathroad-past/1/')) {
@@ -258,8 +306,7 @@
 		onKeyRead: (world, read) => {
 			world.holdWatch()
 			world.move()
-			world.archive()
-			read.serve()
+			world.archive(() => read.serve())
 		},
 	},
 	{
@@ -339,3 +386,40 @@
 			}),
 	},
 ]
+
+/** Orders of a repeated submission, where the move and what follows it come before the write that accepts the job. */
+export const ACCEPTANCE_ORDERS: readonly Order[] = [
+	...ORDERS,
+	{
+		name: 'the state is archived on before the acceptance is carried out, and the watch does not show it yet',
+		onKeyRead: (world, read) => {
+			world.holdWatch()
+			world.move()
+			read.serve()
+		},
+		onAcceptance: (world, write) => {
+			world.archive(() => write.serve())
+		},
+	},
+	{
+		name: 'the state is archived on while the acceptance is under way, and the watch shows it',
+		onKeyRead: (world, read) => {
+			world.holdWatch()
+			world.move()
+			read.serve()
+		},
+		onAcceptance: (world, write) => {
+			world.releaseWatch()
+			world.once(
+				() => world.isInMemory(),
+				() => {
+					world.archive()
+					world.once(
+						() => !world.isInMemory(),
+						() => write.serve(),
+					)
+				},
+			)
+		},
+	},
+]
--- a/tests/held-state.ts
+++ b/tests/held-state.ts
@@ -23,6 +23,8 @@
 	method: string
 	path: string
 	body: unknown
+	/** index of the controller */
+	client: number | null
 	/** Carries the request out now; `deliver` takes the response, by default the controller does at once. */
 	serve(deliver?: (response: FakeResponse) => void): void
 	/** Sends a response to the controller. */
@@ -39,6 +41,7 @@
 			method,
 			path,
 			body,
+			client,
 			reply,
 			serve: (deliver = reply) => handle(method, path, body, deliver, client),
 		})
@@ -99,8 +102,8 @@
 		this.write(migrateTerminalRecords(this, this.shardId, states, ONE_STATE).content)
 	}
 
-	/** Moves the closed pages to the archive, as the archival loop does. */
-	archivePages(): void {
+	/** Moves the closed pages to the archive, as the archival loop does; returns the revision of their deletion. */
+	archivePages(): number {
 		const prefix = `${KEY_PREFIX}over/${this.shardId}/`
 		const pages = this.list(prefix, null, 100).entries
 		assert.ok(pages.length > 0, 'pages to archive')
@@ -127,6 +130,6 @@
 		})
 		assert.equal(Effect.runSync(archiver.insert(1, jobs)), true)
 		const keys = pages.map(({ key }) => key.slice(KEY_PREFIX.length))
-		this.write(deletePages(this, this.shardId, keys))
+		return this.write(deletePages(this, this.shardId, keys))
 	}
 }
--- a/tests/proof-of-absence.test.ts
+++ b/tests/proof-of-absence.test.ts
@@ -9,7 +9,13 @@
  */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { FINISHED, MovingWorld, ORDERS } from './absence-orders.js'
+import { status } from '@grpc/grpc-js'
+import { NO_CHECKS } from '@heathroad/controller'
+import { type JobMessage, toSubmitRequest } from '@heathroad/proto'
+import { arrayJob } from '@heathroad/testkit'
+import { encodeSubmission } from '@heathroad/wire'
+import { UnaryCalls } from '../packages/grpc/src/unary-calls.js'
+import { ACCEPTANCE_ORDERS, FINISHED, MovingWorld, ORDERS, type Order } from './absence-orders.js'
 import { crashDay } from './crash-days.js'
 
 /**
@@ -33,9 +39,9 @@
 		const world = new MovingWorld(order)
 		const later: string[] = []
 		await world.play(() => {
-			world.request('GET', STATUS_PATH, undefined, (answer) => world.answers.push(answer))
+			world.request('GET', STATUS_PATH)
 			world.simulation.clock.after(SETTLED_MS, () =>
-				world.request('GET', STATUS_PATH, undefined, (answer) => later.push(answer)),
+				world.request('GET', STATUS_PATH, undefined, (answer) => void later.push(answer)),
 			)
 		})
 		assert.ok(world.isPlayed, 'the order was played')
@@ -43,3 +49,148 @@
 		assert.equal(world.answers.length, 1)
 		assert.ok(TRUE_ANSWERS.includes(world.answers[0]), world.answers[0])
 	})
+
+type UnaryName = 'submit' | 'get' | 'cancel'
+
+/** Asks over gRPC, without the network; the answer is the state, or the code of the failure. */
+const callUnary = (world: MovingWorld, name: UnaryName, request: object): void => {
+	const calls = new UnaryCalls(world.node, () => false)
+	calls[name]({ request } as never, (error, message) =>
+		world.answers.push(
+			error === null ? String((message as JobMessage).state) : status[error.code ?? status.UNKNOWN],
+		),
+	)
+}
+
+/** The finished job as it was submitted, and once more in a form that is refused. */
+const SPEC = arrayJob(FINISHED, { tasks: 4 })
+const TOO_WIDE = { ...SPEC, cpus: 1000 }
+const JOBS_PATH = '/v2/runs'
+const TRUE_MESSAGES = ['STATE_DONE', 'UNAVAILABLE']
+
+interface Caller {
+	name: string
+	ask(world: MovingWorld): void
+	/** a user who gets one of these knows the truth, or asks again */
+	allowed: readonly string[]
+}
+
+/** Who else asks whether a job is known. */
+const CALLERS: readonly Caller[] = [
+	{
+		name: 'status over gRPC',
+		ask: (world) => callUnary(world, 'get', { uid: FINISHED }),
+		allowed: TRUE_MESSAGES,
+	},
+	{
+		name: 'cancellation over HTTP',
+		ask: (world) => world.request('POST', `${STATUS_PATH}/withdraw`, {}),
+		allowed: TRUE_ANSWERS,
+	},
+	{
+		name: 'cancellation over gRPC',
+		ask: (world) => callUnary(world, 'cancel', { uid: FINISHED }),
+		allowed: TRUE_MESSAGES,
+	},
+	{
+		name: 'a submission that can never run',
+		ask: (world) => world.request('POST', JOBS_PATH, encodeSubmission(TOO_WIDE)),
+		allowed: TRUE_ANSWERS,
+	},
+	{
+		name: 'a submission that a plug-in refuses',
+		ask: (world) => {
+			world.node.checks = { ...NO_CHECKS, admit: (_, done) => done('not today', []) }
+			world.request('POST', JOBS_PATH, encodeSubmission(SPEC))
+		},
+		allowed: TRUE_ANSWERS,
+	},
+]
+
+/** The one answer to the question. */
+const theAnswer = ({ answers }: MovingWorld): string =>
+	answers.length === 1 ? answers[0] : `${answers.length} answers`
+
+/** Plays every order and returns the wrong answers, with the order of each. */
+const wrongAnswers = async (orders: readonly Order[], { ask, allowed }: Caller): Promise<string[]> => {
+	const wrong: string[] = []
+	for (const order of orders) {
+		const world = new MovingWorld(order)
+		await world.play(ask)
+		assert.ok(world.isPlayed, order.name)
+		const answer = theAnswer(world)
+		if (!allowed.includes(answer)) wrong.push(`${answer}: ${order.name}`)
+	}
+	return wrong
+}
+
+for (const caller of CALLERS)
+	test(`a finished job is known while its state moves: ${caller.name}`, async () => {
+		assert.deepEqual(await wrongAnswers(ORDERS, caller), [])
+	})
+
+/** Until then a job that is accepted anew has run, in s. */
+const RUN_AGAIN_UNTIL_S = 45
+
+const SUBMISSIONS: readonly Caller[] = [
+	{
+		name: 'over HTTP',
+		ask: (world) => world.request('POST', JOBS_PATH, encodeSubmission(SPEC)),
+		allowed: [...TRUE_ANSWERS, '429'],
+	},
+	{
+		name: 'over gRPC',
+		ask: (world) => callUnary(world, 'submit', toSubmitRequest(SPEC)),
+		allowed: [...TRUE_MESSAGES, 'RESOURCE_EXHAUSTED'],
+	},
+]
+
+/** A second controller, which follows the changes one by one, may hold a job for open that the first one does not. */
+const REPEATED = [1, 2].flatMap((controllers) => ACCEPTANCE_ORDERS.map((order) => ({ order, controllers })))
+
+for (const { name, ask, allowed } of SUBMISSIONS)
+	test(`a finished job that is submitted again while its state moves is not accepted: ${name}`, async () => {
+		const wrong: string[] = []
+		for (const { order, controllers } of REPEATED) {
+			const world = new MovingWorld(order, { untilS: RUN_AGAIN_UNTIL_S, controllers })
+			await world.play(ask)
+			assert.ok(world.isPlayed, order.name)
+			const events = ['accepted', 'terminal'].filter((event) =>
+				world.log.some((line) => line.includes(`job ${event} `) && line.includes(FINISHED)),
+			)
+			const runs = [
+				...(world.wasOpenAgain ? ['open again'] : []),
+				...(world.hasRunAgain ? ['runs again'] : []),
+			]
+			const answers = allowed.includes(theAnswer(world)) ? [] : [theAnswer(world)]
+			const faults = [...answers, ...events, ...runs]
+			if (faults.length > 0) wrong.push(`${faults.join(', ')}: ${order.name}; ${controllers} controllers`)
+		}
+		assert.deepEqual(wrong, [])
+	})
+
+/** A job that nobody submitted before. */
+const NEW_JOB = 'job-000002'
+
+/**
+ * A proof of absence from before an archival epoch does not count after it. The submission then waited for a write that
+ * nobody asked for: its user had no answer, and neither had whoever repeated it at the same controller.
+ */
+test('a submission is answered though an archival epoch begins during its look-up', async () => {
+	const order: Order = {
+		name: 'an archival epoch begins',
+		onKeyRead: (world, read) => {
+			const revision = world.beginEpoch()
+			read.serve((response) =>
+				world.once(
+					() => world.node.archive.archivalEpoch() === revision,
+					() => read.reply(response),
+				),
+			)
+		},
+	}
+	const world = new MovingWorld(order, { uid: NEW_JOB })
+	await world.play(() => world.request('POST', JOBS_PATH, encodeSubmission({ ...SPEC, uid: NEW_JOB })))
+	assert.ok(world.isPlayed)
+	assert.ok(['201 pending', '503', '429'].includes(theAnswer(world)), theAnswer(world))
+})
