--- a/tests/proof-of-absence.test.ts
+++ b/tests/proof-of-absence.test.ts
@@ -11,7 +11,10 @@
 import { test } from 'node:test'
 import { status } from '@grpc/grpc-js'
 import { NO_CHECKS } from '@heathroad/controller'
+import { EventHub, type Subscription } from '@heathroad/events'
+import { ServiceRecords } from '@heathroad/grpc'
 import { type JobMessage, toSubmitRequest } from '@heathroad/proto'
+import type { Service } from '@heathroad/server'
 import { arrayJob } from '@heathroad/testkit'
 import { encodeSubmission } from '@heathroad/wire'
 import { UnaryCalls } from '../packages/grpc/src/unary-calls.js'
@@ -169,6 +172,79 @@
 		assert.deepEqual(wrong, [])
 	})
 
+/** How often a reader looks for events and a hub for changes, in ms. */
+const STREAM_STEP_MS = 100
+const SELECTION = { uids: [FINISHED] }
+/** So few terminal states are kept for streams that the finished job's is not among them. */
+const FEW_STATES = 2
+
+/**
+ * A reader of the finished job's events at the asked controller, over one stream after the other until one begins. The
+ * hub runs as behind the gRPC face, without the network.
+ */
+class FinishedJobReader {
+	readonly heard: string[] = []
+	isComplete = false
+	private readonly records: ServiceRecords
+	private readonly hub: EventHub
+	private subscription: Subscription | null = null
+
+	constructor(
+		private readonly world: MovingWorld,
+		private readonly node: Service,
+	) {
+		this.records = new ServiceRecords(node, FEW_STATES)
+		this.hub = new EventHub(this.records, 'here', STREAM_STEP_MS, node.now)
+		this.records.hub = this.hub
+	}
+
+	/** Begins a stream, and again a while later if that fails. */
+	open(): void {
+		this.node.afterLinearizableRead((isFresh) => {
+			if (isFresh) this.records.prepare(SELECTION, (isComplete) => this.onPrepared(isComplete))
+			else this.onPrepared(false)
+		})
+	}
+
+	private onPrepared(isComplete: boolean): void {
+		if (!isComplete) {
+			this.world.simulation.clock.after(STREAM_STEP_MS, () => this.open())
+			return
+		}
+		const listener = { onEventsAvailable: () => {}, onEnd: () => {} }
+		const opened = this.hub.subscribe(SELECTION, '', listener)
+		assert.ok(typeof opened !== 'string', String(opened))
+		this.subscription = opened
+		this.step()
+	}
+
+	private step(): void {
+		this.hub.publishChanges()
+		for (let event = this.subscription?.next(); event; event = this.subscription?.next())
+			this.heard.push(event.state)
+		this.isComplete = this.subscription?.isComplete === true
+		this.world.simulation.clock.after(STREAM_STEP_MS, () => this.step())
+	}
+}
+
+test('a stream of a finished job tells its terminal state and ends, though the state moves while it begins', async () => {
+	const wrong: string[] = []
+	for (const order of ORDERS) {
+		let reader: FinishedJobReader | null = null
+		const world = new MovingWorld(order, {
+			onStarted: (started, node) => {
+				reader = new FinishedJobReader(started, node)
+			},
+		})
+		await world.play(() => reader?.open())
+		assert.ok(world.isPlayed, order.name)
+		const { heard, isComplete } = reader!
+		if (heard.join() !== 'done' || !isComplete)
+			wrong.push(`heard [${heard}], ${isComplete ? 'complete' : 'not complete'}: ${order.name}`)
+	}
+	assert.deepEqual(wrong, [])
+})
+
 /** A job that nobody submitted before. */
 const NEW_JOB = 'job-000002'
 
