--- a/tests/absence-orders.ts
+++ b/tests/absence-orders.ts
@@ -70,6 +70,8 @@
 	readonly answers: string[] = []
 	/** the own key was read after the question, so the order was played */
 	isPlayed = false
+	/** reads of the state service by the asked controller that the follower of the changes does not make */
+	readonly reads: string[] = []
 	/** all keys were read after the question */
 	hasReadAll = false
 	/** a machine ran a task of the finished job */
@@ -198,6 +200,13 @@
 		this.others.write(advanceArchivalEpoch(this.others, { format: 2, archivalEpoch: 1, legacy: true }))
 	}
 
+	/** Completes the migration and archives all of its pages but the last; the record of the format says so. */
+	completeMigration(): void {
+		for (const uid of [FINISHED, ...OTHERS]) this.others.moveToPage(uid)
+		this.others.archivePages()
+		this.others.write(advanceArchivalEpoch(this.others, { format: 2, archivalEpoch: 2, legacy: false }))
+	}
+
 	/** Begins the next archival epoch, and returns its revision. */
 	beginEpoch(): number {
 		return this.others.write(advanceArchivalEpoch(this.others, { format: 2, archivalEpoch: 2, legacy: true }))
@@ -205,6 +214,8 @@
 
 	private onRequest(request: HeldRequest): void {
 		const { path, client } = request
+		const isRead = path.startsWith('/store?') || path.endsWith('&blockMs=0')
+		if (client === ASKED && isRead) this.reads.push(path)
 		if (path.startsWith('/watch') && client === ASKED)
 			request.serve((response) => this.onWatchAnswered(request, response))
 		// The controllers' own migration has to wait.
--- a/tests/proof-of-absence.test.ts
+++ b/tests/proof-of-absence.test.ts
@@ -270,3 +270,94 @@
 	assert.ok(world.isPlayed)
 	assert.ok(['201 pending', '503', '429'].includes(theAnswer(world)), theAnswer(world))
 })
+
+/** When states are moved that have long been elsewhere when they are asked for, in ms. */
+const PREPARED_AT_MS = 3000
+const UNKNOWN_JOB = 'job-000003'
+const ALREADY_MOVED: Order = { name: 'nothing moves', onKeyRead: (_, read) => read.serve() }
+
+/** Answers in the ordinary case, and the reads of the state service that each takes. */
+const COSTS: readonly {
+	name: string
+	uid?: string
+	isCold?: boolean
+	prepare?: (world: MovingWorld) => void
+	answer: string
+	reads: number
+}[] = [
+	{ name: 'under its own key', answer: '200 done', reads: 2 },
+	{ name: 'on a page', prepare: (world) => world.move(), answer: '200 done', reads: 0 },
+	{
+		name: 'in the archive, during the migration',
+		prepare: (world) => {
+			world.move()
+			world.archive()
+		},
+		answer: '200 done',
+		reads: 0,
+	},
+	{
+		name: 'in the archive, during the migration, with no page in memory',
+		isCold: true,
+		prepare: (world) => {
+			world.move()
+			world.archive()
+		},
+		answer: '200 done',
+		reads: 3,
+	},
+	{
+		name: 'in the archive',
+		prepare: (world) => world.completeMigration(),
+		answer: '200 done',
+		reads: 0,
+	},
+	{
+		name: 'in the archive, with no page in memory',
+		isCold: true,
+		prepare: (world) => world.completeMigration(),
+		answer: '200 done',
+		reads: 2,
+	},
+	{ name: 'unknown, during the migration', uid: UNKNOWN_JOB, answer: '404', reads: 2 },
+	{
+		name: 'unknown, during the migration, with no page in memory',
+		uid: UNKNOWN_JOB,
+		isCold: true,
+		answer: '404',
+		reads: 3,
+	},
+	{
+		name: 'unknown',
+		uid: UNKNOWN_JOB,
+		prepare: (world) => world.completeMigration(),
+		answer: '404',
+		reads: 1,
+	},
+	{
+		name: 'unknown, with no page in memory',
+		uid: UNKNOWN_JOB,
+		isCold: true,
+		prepare: (world) => world.completeMigration(),
+		answer: '404',
+		reads: 2,
+	},
+]
+
+test('a status costs no more reads of the state service than before states could move during its look-up', async () => {
+	const costs: string[] = []
+	for (const { name, uid = FINISHED, isCold = false, prepare = () => {} } of COSTS) {
+		const world = new MovingWorld({ ...ALREADY_MOVED, isCold }, { uid })
+		world.simulation.clock.after(PREPARED_AT_MS, () => prepare(world))
+		await world.play(() => {
+			const before = world.reads.length
+			world.request('GET', `${JOBS_PATH}/${uid}`, undefined, (answer) => {
+				costs.push(`${name}: ${answer}, ${world.reads.length - before} reads`)
+			})
+		})
+	}
+	assert.deepEqual(
+		costs,
+		COSTS.map(({ name, answer, reads }) => `${name}: ${answer}, ${reads} reads`),
+	)
+})
