--- a/tests/proof-of-absence.test.ts
+++ b/tests/proof-of-absence.test.ts
@@ -11,12 +11,16 @@
 import { test } from 'node:test'
 import { status } from '@grpc/grpc-js'
 import { NO_CHECKS } from '@heathroad/controller'
-import { EventHub, type Subscription } from '@heathroad/events'
+import { CursorCodec, EventHub, type Selection, type Subscription } from '@heathroad/events'
 import { ServiceRecords } from '@heathroad/grpc'
 import { type JobMessage, toSubmitRequest } from '@heathroad/proto'
 import type { Service } from '@heathroad/server'
 import { arrayJob } from '@heathroad/testkit'
-import { encodeSubmission } from '@heathroad/wire'
+import { encodeSubmission, type HttpClient } from '@heathroad/wire'
+import { Effect } from 'effect'
+import { HttpTransport } from '../packages/client/src/http.js'
+import { RetryingCaller } from '../packages/client/src/retrying-caller.js'
+import type { TransportPool } from '../packages/client/src/transport-pool.js'
 import { UnaryCalls } from '../packages/grpc/src/unary-calls.js'
 import { ACCEPTANCE_ORDERS, FINISHED, MovingWorld, ORDERS, type Order } from './absence-orders.js'
 import { crashDay } from './crash-days.js'
@@ -71,6 +75,22 @@
 const JOBS_PATH = '/v2/runs'
 const TRUE_MESSAGES = ['STATE_DONE', 'UNAVAILABLE']
 
+/** Asks through the client library, whose calls reach the controller without the network; one try. */
+const callClient = (world: MovingWorld): void => {
+	const request: HttpClient['request'] = (_, method, path, body) =>
+		Effect.promise(() => world.simulation.sendRequest(0, method, path, body)).pipe(
+			Effect.map((response) => ({ status: response?.status ?? 0, body: response?.body, retryAfterS: null })),
+		)
+	const transport = Object.assign(new HttpTransport('10.0.0.1:8080'), { httpClient: { request } })
+	const pool = { choose: async () => ({ transport, candidateCount: 1 }), advance: () => {} }
+	new RetryingCaller(pool as unknown as TransportPool, { deadlineMs: 1, tryMs: 1 }, () => 0)
+		.call(FINISHED, {}, (chosen, timeoutMs, signal) => chosen.get(FINISHED, timeoutMs, signal))
+		.then(
+			({ state }) => world.answers.push(state),
+			(error: Error) => world.answers.push(error.constructor.name),
+		)
+}
+
 interface Caller {
 	name: string
 	ask(world: MovingWorld): void
@@ -80,6 +100,7 @@
 
 /** Who else asks whether a job is known. */
 const CALLERS: readonly Caller[] = [
+	{ name: 'status by the client library', ask: callClient, allowed: ['done', 'DeadlineOver'] },
 	{
 		name: 'status over gRPC',
 		ask: (world) => callUnary(world, 'get', { uid: FINISHED }),
@@ -174,46 +195,51 @@
 
 /** How often a reader looks for events and a hub for changes, in ms. */
 const STREAM_STEP_MS = 100
-const SELECTION = { uids: [FINISHED] }
+const INSTALLATION = 'here'
+const TEAM = { team: 'core' }
 /** So few terminal states are kept for streams that the finished job's is not among them. */
 const FEW_STATES = 2
+const ALL_STATES = 1000
 
-/**
- * A reader of the finished job's events at the asked controller, over one stream after the other until one begins. The
- * hub runs as behind the gRPC face, without the network.
- */
-class FinishedJobReader {
+/** A reader at the asked controller, over one stream after the other until one begins; the hub runs as behind the gRPC face. */
+class EventReader {
 	readonly heard: string[] = []
-	isComplete = false
+	/** how the latest stream stands */
+	outcome = 'not begun'
 	private readonly records: ServiceRecords
 	private readonly hub: EventHub
 	private subscription: Subscription | null = null
 
+	/** `retained`: terminal states that the controller keeps for streams. */
 	constructor(
 		private readonly world: MovingWorld,
 		private readonly node: Service,
+		retained: number,
 	) {
-		this.records = new ServiceRecords(node, FEW_STATES)
-		this.hub = new EventHub(this.records, 'here', STREAM_STEP_MS, node.now)
+		this.records = new ServiceRecords(node, retained)
+		this.hub = new EventHub(this.records, INSTALLATION, STREAM_STEP_MS, node.now)
 		this.records.hub = this.hub
 	}
 
 	/** Begins a stream, and again a while later if that fails. */
-	open(): void {
+	open(selection: Selection, cursor = ''): void {
+		const onPrepared = (isComplete: boolean) => {
+			if (isComplete) this.subscribe(selection, cursor)
+			else this.world.simulation.clock.after(STREAM_STEP_MS, () => this.open(selection, cursor))
+		}
 		this.node.afterLinearizableRead((isFresh) => {
-			if (isFresh) this.records.prepare(SELECTION, (isComplete) => this.onPrepared(isComplete))
-			else this.onPrepared(false)
+			if (isFresh) this.records.prepare(selection, onPrepared)
+			else onPrepared(false)
 		})
 	}
 
-	private onPrepared(isComplete: boolean): void {
-		if (!isComplete) {
-			this.world.simulation.clock.after(STREAM_STEP_MS, () => this.open())
+	private subscribe(selection: Selection, cursor: string): void {
+		const listener = { onEventsAvailable: () => {}, onEnd: () => {} }
+		const opened = this.hub.subscribe(selection, cursor, listener)
+		if (typeof opened === 'string') {
+			this.outcome = opened
 			return
 		}
-		const listener = { onEventsAvailable: () => {}, onEnd: () => {} }
-		const opened = this.hub.subscribe(SELECTION, '', listener)
-		assert.ok(typeof opened !== 'string', String(opened))
 		this.subscription = opened
 		this.step()
 	}
@@ -221,28 +247,61 @@
 	private step(): void {
 		this.hub.publishChanges()
 		for (let event = this.subscription?.next(); event; event = this.subscription?.next())
-			this.heard.push(event.state)
-		this.isComplete = this.subscription?.isComplete === true
+			if (event.uid === FINISHED) this.heard.push(event.state)
+		this.outcome = this.subscription?.isComplete === true ? 'complete' : 'open'
 		this.world.simulation.clock.after(STREAM_STEP_MS, () => this.step())
 	}
 }
 
-test('a stream of a finished job tells its terminal state and ends, though the state moves while it begins', async () => {
-	const wrong: string[] = []
+/** Plays every order with a reader, and returns what it heard in each and how its stream stood in the end. */
+const hearOrders = async (
+	retained: number,
+	ask: (world: MovingWorld, reader: EventReader) => void,
+): Promise<{ order: string; told: string }[]> => {
+	const told: { order: string; told: string }[] = []
 	for (const order of ORDERS) {
-		let reader: FinishedJobReader | null = null
+		const readers: EventReader[] = []
 		const world = new MovingWorld(order, {
-			onStarted: (started, node) => {
-				reader = new FinishedJobReader(started, node)
-			},
+			onStarted: (started, node) => void readers.push(new EventReader(started, node, retained)),
 		})
-		await world.play(() => reader?.open())
+		const [reader] = await world.play(() => ask(world, readers[0])).then(() => readers)
 		assert.ok(world.isPlayed, order.name)
-		const { heard, isComplete } = reader!
-		if (heard.join() !== 'done' || !isComplete)
-			wrong.push(`heard [${heard}], ${isComplete ? 'complete' : 'not complete'}: ${order.name}`)
+		told.push({ order: order.name, told: [...reader.heard, reader.outcome].join(', ') })
 	}
-	assert.deepEqual(wrong, [])
+	return told
+}
+
+const expectTold = (results: { order: string; told: string }[], allowed: readonly string[]): void => {
+	const wrong = results.filter(({ told }) => !allowed.includes(told))
+	assert.deepEqual(
+		wrong.map(({ order, told }) => `${told}: ${order}`),
+		[],
+	)
+}
+
+test('a stream of a finished job tells its terminal state and ends, though the state moves while it begins', async () => {
+	const told = await hearOrders(FEW_STATES, (_, reader) => reader.open({ uids: [FINISHED] }))
+	expectTold(told, ['done, complete'])
+})
+
+/** Streams of a team ask for no single job, so a status does, at the same time. */
+const openTeamStream = (world: MovingWorld, reader: EventReader, cursor: string): void => {
+	reader.open(TEAM, cursor)
+	world.request('GET', STATUS_PATH)
+}
+
+test('a stream of a team that resumes from before a job was done tells it once, or that it is out of range', async () => {
+	const cursor = new CursorCodec(INSTALLATION, TEAM).encode({ phase: 'live', revision: 0, uid: '' })
+	for (const retained of [FEW_STATES, ALL_STATES])
+		expectTold(await hearOrders(retained, (world, reader) => openTeamStream(world, reader, cursor)), [
+			'done, open',
+			'out of range',
+		])
+})
+
+test('a stream of a team from the present is not told of a state that only moves', async () => {
+	for (const retained of [FEW_STATES, ALL_STATES])
+		expectTold(await hearOrders(retained, (world, reader) => openTeamStream(world, reader, '')), ['open'])
 })
 
 /** A job that nobody submitted before. */
