--- a/tests/proof-of-absence.test.ts
+++ b/tests/proof-of-absence.test.ts
@@ -15,7 +15,8 @@
 import { ServiceRecords } from '@heathroad/grpc'
 import { type JobMessage, toSubmitRequest } from '@heathroad/proto'
 import type { Service } from '@heathroad/server'
-import { arrayJob } from '@heathroad/testkit'
+import { KEY_PREFIX } from '@heathroad/store'
+import { arrayJob, Simulation } from '@heathroad/testkit'
 import { encodeSubmission, type HttpClient } from '@heathroad/wire'
 import { Effect } from 'effect'
 import { HttpTransport } from '../packages/client/src/http.js'
@@ -420,3 +421,69 @@
 		COSTS.map(({ name, answer, reads }) => `${name}: ${answer}, ${reads} reads`),
 	)
 })
+
+/** States of the first format on a day with the real migration, and who asks for those that are about to move. */
+const MIGRATION = { states: 150, fromS: 8, untilS: 170, questionEveryMs: 60, front: 6, submittedShare: 0.2 }
+
+/** Plays a day of migration and archival on which users ask for the next states to move; returns the wrong answers. */
+const askAtTheFront = async (seed: number) => {
+	const simulation = new Simulation({
+		seed,
+		untilS: MIGRATION.untilS,
+		jobs: [],
+		faults: [],
+		up: 4,
+		capacity: 0,
+	})
+	const { clock, state } = simulation
+	const uids = Array.from({ length: MIGRATION.states }, (_, index) => `job-${700_000 + index}`)
+	const need = { team: 'core', cpus: 1, gpus: 0, ramGb: 1 }
+	for (const [index, uid] of uids.entries())
+		state.put(`${KEY_PREFIX}job/${uid}`, { part: index % 3, final: 'done', tasks: 4, need })
+	state.put(`${KEY_PREFIX}history`, { form: 2, turn: 1, legacy: true })
+	const unmoved = new Set(uids)
+	state.changed = (key) => void unmoved.delete(key.slice(`${KEY_PREFIX}job/`.length))
+	const log: string[] = []
+	simulation.tell = (line) => void log.push(line)
+	const wrong: string[] = []
+	let answers = 0
+	const ask = () => {
+		const front = [...unmoved].slice(0, MIGRATION.front)
+		if (front.length === 0) return
+		const uid = front[Math.floor(clock.random() * front.length)]
+		const isSubmitted = clock.random() < MIGRATION.submittedShare
+		const spec = encodeSubmission(arrayJob(uid, { tasks: 4 }))
+		const controller = Math.floor(clock.random() * 3)
+		const askedAt = Math.round(clock.nowMs)
+		const answer = isSubmitted
+			? simulation.sendRequest(controller, 'POST', JOBS_PATH, spec)
+			: simulation.sendRequest(controller, 'GET', `${JOBS_PATH}/${uid}`, undefined)
+		void answer.then((reply) => {
+			const { status: jobStatus } = (reply?.body ?? {}) as { status?: string }
+			const isKnown = reply?.status === 200 && jobStatus === 'done'
+			if (isKnown) answers++
+			else if (reply?.status !== 503 && reply?.status !== 429)
+				wrong.push(
+					`${isSubmitted ? 'submitted' : 'asked'} at ${askedAt}: ${reply?.status} ${jobStatus ?? ''}`,
+				)
+		})
+		clock.after(MIGRATION.questionEveryMs, ask)
+	}
+	clock.after(MIGRATION.fromS * 1000, ask)
+	await simulation.play()
+	const again = log.filter((line) => / job (accepted|terminal) /.test(line))
+	return { wrong, again, answers, left: unmoved.size, violations: simulation.invariants.violations }
+}
+
+test('no state is missed by users who ask for those that the migration is about to move', async () => {
+	const faults: string[] = []
+	for (const seed of [2101, 2102, 2103]) {
+		const { wrong, again, answers, left, violations } = await askAtTheFront(seed)
+		assert.equal(left, 0, `seed ${seed}: all are moved`)
+		assert.ok(answers > 300, `seed ${seed}: ${answers} answers`)
+		if (wrong.length > 0)
+			faults.push(`seed ${seed}: ${wrong.length} beside ${answers} right answers, ${wrong[0]}`)
+		for (const fault of [...again, ...violations]) faults.push(`seed ${seed}: ${fault}`)
+	}
+	assert.deepEqual(faults, [])
+})
