Prove a job's absence anew if an archival epoch begins during the search

Symptom: a submission got no answer, and retries at that controller waited with it. Cause: its proof was older than the epoch that had begun meanwhile, and nobody began another one. The memory-only proof needs no rule of its own: the scope of a search says it.

--- a/packages/server/src/archival-controller.ts
+++ b/packages/server/src/archival-controller.ts
@@ -125,7 +125,7 @@
 	}
 
 	provesAbsent(uid: string): boolean {
-		return this.reader.provesAbsent(uid)
+		return !this.retention.searchScope().ownKeys && this.reader.provesAbsent(uid)
 	}
 
 	latestRevision(): Effect.Effect<number | null> {
--- a/packages/server/src/job-locator.ts
+++ b/packages/server/src/job-locator.ts
@@ -84,7 +84,7 @@
 	readOwnKey(uid: string): Effect.Effect<LegacyRead>
 	/** Returns an archived state that takes no read; the id must match `JOB_ID_PATTERN`. */
 	cached(uid: string): ArchivedJob | undefined
-	/** Tells, without a read, whether the archive certainly has no state of the job. */
+	/** Tells, without a read, whether a job that nothing in memory names is certainly not terminal. */
 	provesAbsent(uid: string): boolean
 	/** Searches the archive. */
 	lookUp(uid: string): Effect.Effect<ArchiveLookup>
@@ -119,9 +119,9 @@
 
 	/** Returns the revision as of which the job is proven absent without a read; null: that takes a search. */
 	absentAsOf(uid: string): number | null {
-		const step = nextSearchStep(this.memoryView(uid), null)
-		if (step.kind === 'search archive') return this.ports.archive.provesAbsent(uid) ? step.asOf : null
-		return step.kind === 'located' && step.location.kind === 'absent' ? step.location.asOf : null
+		const { cache, archive } = this.ports
+		if (cache.revision < 0 || this.inMemory(uid) !== null) return null
+		return archive.provesAbsent(uid) ? cache.revision : null
 	}
 
 	/** Locates a job as of a moment that is no earlier than this controller's present knowledge of the records. */
--- a/packages/server/src/submission-queue.ts
+++ b/packages/server/src/submission-queue.ts
@@ -125,7 +125,9 @@
 		if (!this.pending.includes(submission)) return
 		if (location.kind === 'absent') {
 			submission.provenAbsentAt = location.asOf
-			this.flush()
+			// An archival epoch that began during the search asks for a proof of its own.
+			if (this.isProvenAbsent(submission)) this.flush()
+			else this.proveAbsent(submission)
 			return
 		}
 		this.settle(new Set([submission]), location.kind === 'unknown' ? 'refused' : 'unclear')
