Tell every consumer of each terminal state that is new to memory, however old it is

Symptom: after a full read of several requests, or a migration, streams and the log of a team lacked states for ever; by reading, the shard and the log of cancellations missed them too. Cause: states up to the cache's revision counted as known, but a page that changes during a full read is left to the watch, and states of own keys may have been left out. Now what counts is whether memory knew the job for over.

--- a/packages/cluster/src/job-registry.ts
+++ b/packages/cluster/src/job-registry.ts
@@ -149,22 +149,20 @@
 	}
 
 	/**
-	 * A page of terminal states changed; returns the jobs that are over by that.
-	 *
-	 * @param since revision up to which every state was known before, so that states which only moved here are not returned
+	 * A page of terminal states changed; returns the jobs that memory did not know for over before. Their states may be much
+	 * older than the change: moved from own keys that a full read left out, or on a page that changed during a full read.
 	 */
 	onTerminalPageChanged(
 		key: string,
 		entry: CacheEntry | undefined,
 		before: CacheEntry | undefined,
-		since: number,
 	): { uid: string; record: JobRecord }[] {
 		const uidsOnPage = new Set<string>()
 		const newlyOver: { uid: string; record: JobRecord }[] = []
 		for (const { job, shardId, revision } of jobsOnPage(entry)) {
 			uidsOnPage.add(job.uid)
 			const record = this.putOnPage(job, { shardId, revision, key })
-			if (record !== null && revision > since) newlyOver.push({ uid: job.uid, record })
+			if (record !== null) newlyOver.push({ uid: job.uid, record })
 		}
 		for (const { jobs } of decodeTerminalPage(before?.data)?.batches ?? [])
 			for (const { uid } of jobs) if (!uidsOnPage.has(uid)) this.leftPages.push({ uid, key })
--- a/packages/server/src/record-dispatcher.ts
+++ b/packages/server/src/record-dispatcher.ts
@@ -103,8 +103,7 @@
 	}
 
 	private onTerminalPageChanged({ key, entry, previous }: RecordChange): void {
-		const { jobs, cache } = this.consumers.context
-		const newlyTerminal = jobs.onTerminalPageChanged(key, entry, previous, cache.revision)
+		const newlyTerminal = this.consumers.context.jobs.onTerminalPageChanged(key, entry, previous)
 		for (const { uid, record } of newlyTerminal) this.onJobChanged(uid, record)
 	}
 
--- a/tests/models/records.ts
+++ b/tests/models/records.ts
@@ -56,7 +56,7 @@
 const readKnownRecords = ({ revision, records }: View): KnownRecords => {
 	const cache: WatchCache = new WatchCache(
 		(key, entry, before) => {
-			if (key.startsWith('over/')) registry.onTerminalPageChanged(key, entry, before, cache.revision)
+			if (key.startsWith('over/')) registry.onTerminalPageChanged(key, entry, before)
 			else if (key.startsWith('intake/')) registry.onBatchAccepted(entry?.data)
 			else if (key.startsWith(JOB_PREFIX)) {
 				const record = decodeJobRecord(entry?.data)
