Never set back how far a log of terminal states was trimmed

Symptom: a resumed stream of a team missed states without a gap. Cause: a full read that meets the oldest states last had them trimmed last, and the log then claimed to keep everything after those. Its test (stream-resumption, "a full read meets the oldest states last") passes now.

--- a/packages/cluster/src/terminal-state-log.ts
+++ b/packages/cluster/src/terminal-state-log.ts
@@ -132,7 +132,9 @@
 		this.retained.sort(comparePositions)
 		const removed = this.retained.splice(0, this.retained.length - this.maxStates)
 		for (const state of removed) {
-			this.teamLog(state.team).trimmedUpTo = state
+			const log = this.teamLog(state.team)
+			// States of long ago may be added after later ones were trimmed.
+			if (comparePositions(state, log.trimmedUpTo) > 0) log.trimmedUpTo = state
 			this.byUid.delete(state.uid)
 		}
 		for (const { states, trimmedUpTo } of this.teamLogs.values())
