Drop a full read that is older than what the watch cache knows

Symptom: deleted keys came back, and with them an acceptance of a done job, which was open again. Cause: the watch and a linearizable read may each read all keys at the same time, and the older read may be applied last.

--- a/packages/store/src/watch-cache.ts
+++ b/packages/store/src/watch-cache.ts
@@ -158,14 +158,20 @@
 				after = page.entries[page.entries.length - 1].key
 			}
 			const changes = lastRevision > firstRevision ? yield* client.watch(firstRevision, 0) : null
-			this.onFullRead(firstRevision)
-			this.replaceAll(firstRevision, retained)
+			this.applyFullRead(firstRevision, retained)
 			if (changes !== null) this.applyEvents(changes.revision, changes.log)
 			this.onFullReadApplied()
 			this.knownAsOf = Math.max(this.knownAsOf, sentAt)
 		})
 	}
 
+	/** Another read may have been applied meanwhile: an older one would bring back keys that were deleted since. */
+	private applyFullRead(revision: number, retained: readonly KeyValue[]): void {
+		if (this.revision >= revision) return
+		this.onFullRead(revision)
+		this.replaceAll(revision, retained)
+	}
+
 	private retainsEntry(entry: KeyValue): boolean {
 		const key = withoutPrefix(entry.key)
 		return this.retains(key, entry.data, entry.modRevision) || this.entries.has(key)
