Hold the terminal states of a named stream from its beginning, and deliver those that become known late

Symptom: a stream by ids waited for ever, and its cursor claimed the state. Now prepared states go to the stream whole, it holds what is undelivered, delivers late ones, and never moves its position back. The test's controller subscribes within the callback of `prepare`, as the server does.

--- a/packages/events/src/selection-feed.ts
+++ b/packages/events/src/selection-feed.ts
@@ -46,8 +46,8 @@
 	takeTerminalState(after: LogPosition): TerminalState | null
 	/** id of the next changed job; null: none changed */
 	takeChangedJob(): string | null
-	/** takes a terminal state that belongs to the initial snapshot; false: it is not to be delivered there */
-	takeFromSnapshot(state: TerminalState): boolean
+	/** takes a job's terminal state if that belongs to the initial snapshot and was not delivered; null: it does not */
+	takeFromSnapshot(uid: string): TerminalState | null
 	/** a terminal state of a selected job was recorded */
 	terminalStateRecorded(state: TerminalState): void
 	/** a selected job changed and is not terminal */
@@ -89,8 +89,8 @@
 	}
 
 	/** The snapshot of a team holds open jobs only. */
-	takeFromSnapshot(): boolean {
-		return false
+	takeFromSnapshot(): null {
+		return null
 	}
 
 	/** Read from the hub instead. */
@@ -103,6 +103,11 @@
 /** Feed of named jobs. It holds their undelivered terminal states and the ids of those that changed. */
 export class NamedJobsFeed implements SelectionFeed {
 	readonly initialJobIds: readonly string[]
+	/**
+	 * Undelivered terminal states that belong to the initial snapshot. Held from the beginning, since they may leave memory
+	 * before a slow reader takes them.
+	 */
+	private readonly snapshotStates = new Map<string, TerminalState>()
 	/** undelivered terminal states that follow the initial snapshot, in order */
 	private readonly terminalStates: TerminalState[] = []
 	/** jobs that changed and were not terminal at that time */
@@ -116,14 +121,16 @@
 	constructor(
 		private readonly source: SubscriptionSource,
 		uids: readonly string[],
-		private readonly start: StreamPosition,
+		start: StreamPosition,
 	) {
 		this.initialJobIds = [...new Set(uids)].sort()
 		for (const uid of this.initialJobIds) {
 			const terminal = source.terminalState(uid)
 			if (terminal !== undefined && wasDeliveredBefore(start, terminal)) continue
 			this.undelivered.add(uid)
-			if (terminal !== undefined && !isInSnapshot(start, terminal)) this.terminalStateRecorded(terminal)
+			if (terminal === undefined) continue
+			if (isInSnapshot(start, terminal)) this.snapshotStates.set(uid, terminal)
+			else this.terminalStateRecorded(terminal)
 		}
 	}
 
@@ -158,13 +165,18 @@
 		return null
 	}
 
-	takeFromSnapshot(state: TerminalState): boolean {
-		return isInSnapshot(this.start, state) && this.undelivered.delete(state.uid)
+	takeFromSnapshot(uid: string): TerminalState | null {
+		const state = this.snapshotStates.get(uid)
+		this.snapshotStates.delete(uid)
+		return state !== undefined && this.undelivered.delete(uid) ? state : null
 	}
 
-	/** Inserts the state at its position in the order, unless it was delivered or is in the list already. */
+	/**
+	 * Inserts the state at its position in the order, unless it was delivered or is held already. A state that becomes known
+	 * late, with a position that the stream has passed, is delivered all the same.
+	 */
 	terminalStateRecorded(state: TerminalState): void {
-		if (!this.undelivered.has(state.uid)) return
+		if (!this.undelivered.has(state.uid) || this.snapshotStates.has(state.uid)) return
 		let index = this.terminalStates.length
 		while (index > 0 && comparePositions(this.terminalStates[index - 1], state) > 0) index--
 		if (index > 0 && this.terminalStates[index - 1].uid === state.uid) return
--- a/packages/events/src/subscription.ts
+++ b/packages/events/src/subscription.ts
@@ -1,5 +1,5 @@
 /** One reader's position in the events of its selection. */
-import { type LogPosition, REVISION_END, type TerminalState } from '@heathroad/cluster'
+import { comparePositions, type LogPosition, REVISION_END, type TerminalState } from '@heathroad/cluster'
 import type { CursorCodec, Selection, StreamPosition } from './cursor.js'
 import type { JobState } from './job-records.js'
 import { NamedJobsFeed, type SelectionFeed, type SubscriptionSource, TeamFeed } from './selection-feed.js'
@@ -151,16 +151,15 @@
 
 	/** A job's state in the snapshot; null: it is not part of it. */
 	private snapshotState(uid: string): JobState | null {
-		const terminal = this.source.terminalState(uid)
-		if (terminal === undefined) return this.source.currentState(uid)
-		// A state that became terminal later is delivered at its position in the order.
-		return this.feed.takeFromSnapshot(terminal) ? toJobState(terminal) : null
+		const terminal = this.feed.takeFromSnapshot(uid)
+		// Of a job that became terminal later there is no current state: it is delivered at its position in the order.
+		return terminal === null ? this.source.currentState(uid) : toJobState(terminal)
 	}
 
 	private nextTerminalState(): JobState | null {
 		const terminal = this.feed.takeTerminalState(this.position)
 		if (terminal !== null) {
-			this.position = { phase: 'live', revision: terminal.revision, uid: terminal.uid }
+			this.advanceTo({ phase: 'live', revision: terminal.revision, uid: terminal.uid })
 			return toJobState(terminal)
 		}
 		// Everything up to the present revision is delivered: the cursor advances, so that it does not become too old to
@@ -170,6 +169,11 @@
 		return null
 	}
 
+	/** A terminal state that became known late does not take the position back: what lies between was delivered. */
+	private advanceTo(position: StreamPosition): void {
+		if (comparePositions(position, this.position) > 0) this.position = position
+	}
+
 	/** The next state of a job that is not terminal. */
 	private nextOpenState(): JobState | null {
 		const { initialJobIds } = this.feed
--- a/packages/grpc/src/service-records.ts
+++ b/packages/grpc/src/service-records.ts
@@ -16,6 +16,23 @@
 /** A shard's new owner has complete numbers of running tasks after so many heartbeat intervals. */
 const HEARTBEATS_AFTER_TAKEOVER = 2
 
+const NO_STATES: ReadonlyMap<string, TerminalState> = new Map()
+
+const toArchivedState = ({
+	ordinal,
+	aborted,
+	taskCount,
+	doneCount,
+	revision,
+}: ArchivedJob): TerminalState => ({
+	uid: jobIdOf(ordinal),
+	team: '',
+	state: aborted ? 'aborted' : 'done',
+	revision,
+	taskCount,
+	doneCount,
+})
+
 /** Observes the records of a service from its construction on, and passes changes to the hub. */
 export class ServiceRecords implements JobRecords, RecordObserver {
 	readonly terminalStates: TerminalStateLog
@@ -23,6 +40,8 @@
 	hub: EventHub | null = null
 	/** shards with a new owner, whose numbers of running tasks may be incomplete until this time, steady ms */
 	private readonly incompleteUntil = new Map<number, number>()
+	/** terminal states of the stream that is being subscribed */
+	private preparedStates: ReadonlyMap<string, TerminalState> = NO_STATES
 	/** terminal states from the archive, the latest ones that streams asked for */
 	private readonly archivedStates = new Map<string, TerminalState>()
 	/** a full read was not followed by a check yet whether the archive holds states that the log lacks */
@@ -37,7 +56,7 @@
 	) {
 		this.terminalStates = new TerminalStateLog(
 			retained,
-			(uid) => this.recordedState(uid) ?? this.archivedStates.get(uid),
+			(uid) => this.recordedState(uid) ?? this.preparedStates.get(uid) ?? this.archivedStates.get(uid),
 		)
 		for (const uid of service.jobs.knownIds()) this.addTerminalState(uid)
 		// What an earlier full read left out of memory is not known here.
@@ -92,12 +111,21 @@
 	}
 
 	/**
-	 * Reads what a stream needs that is not in memory: archived terminal states of named jobs, or whether a team's states
-	 * may be archived. To be called after a linearizable read; calls back with false if not everything could be read.
+	 * Reads what a stream needs that is not in memory: terminal states of named jobs, or whether a team's states may be
+	 * archived. To be called after a linearizable read; calls back with false if not everything could be read. A stream must
+	 * be subscribed within the callback, as long as the states that were read are at hand.
 	 */
 	prepare(selection: Selection, done: (isComplete: boolean) => void): void {
-		const preparation = 'team' in selection ? this.checkArchive() : this.loadArchived(selection.uids)
-		Effect.runFork(Effect.map(preparation, done))
+		if ('team' in selection) {
+			Effect.runFork(Effect.map(this.checkArchive(), done))
+			return
+		}
+		const onFound = (states: ReadonlyMap<string, TerminalState> | null) => {
+			this.preparedStates = states ?? NO_STATES
+			done(states !== null)
+			this.preparedStates = NO_STATES
+		}
+		Effect.runFork(Effect.map(this.findTerminalStates(selection.uids), onFound))
 	}
 
 	/**
@@ -118,15 +146,25 @@
 		})
 	}
 
-	private loadArchived(uids: readonly string[]): Effect.Effect<boolean> {
+	/** The terminal states of named jobs; null: for some job nothing is proven. */
+	private findTerminalStates(
+		uids: readonly string[],
+	): Effect.Effect<ReadonlyMap<string, TerminalState> | null> {
+		const found = new Map<string, TerminalState>()
+		for (const uid of uids) {
+			const state = this.terminalStates.get(uid)
+			if (state !== undefined) found.set(uid, state)
+		}
+		const searchedIds = new Set(uids.filter((uid) => !found.has(uid) && this.needsSearch(uid)))
 		const { jobLocator } = this.service
-		const unknownIds = new Set(uids.filter((uid) => this.needsSearch(uid)))
-		return Effect.forEach(unknownIds, (uid) => jobLocator.locate(uid), { concurrency: 'unbounded' }).pipe(
+		return Effect.forEach(searchedIds, (uid) => jobLocator.locate(uid), { concurrency: 'unbounded' }).pipe(
 			Effect.map((locations) => {
-				for (const location of locations) if (location.kind === 'archived') this.retainArchived(location.job)
+				for (const location of locations)
+					if (location.kind === 'archived') this.retainArchived(toArchivedState(location.job), found)
 				// A job may have left memory during the searches for others.
-				const hasSearchedAll = uids.every((uid) => unknownIds.has(uid) || !this.needsSearch(uid))
-				return hasSearchedAll && locations.every((location) => this.isCurrent(location))
+				const isKnown = (uid: string) => found.has(uid) || searchedIds.has(uid) || !this.needsSearch(uid)
+				const isComplete = locations.every((location) => this.isCurrent(location)) && uids.every(isKnown)
+				return isComplete ? found : null
 			}),
 		)
 	}
@@ -144,20 +182,13 @@
 		return location.kind !== 'unknown'
 	}
 
-	/** Keeps the terminal state of an archived job that a stream names; the longest kept ones are dropped. */
-	private retainArchived(job: ArchivedJob): void {
-		const uid = jobIdOf(job.ordinal)
-		const { aborted, taskCount, doneCount, revision } = job
+	/** Keeps a state that a stream asked for, for it and for further streams; of these the longest kept ones are dropped. */
+	private retainArchived(state: TerminalState, found: Map<string, TerminalState>): void {
+		const { uid } = state
+		found.set(uid, state)
 		// Deleted first, so that it becomes the latest in the order of the map.
 		this.archivedStates.delete(uid)
-		this.archivedStates.set(uid, {
-			uid,
-			team: '',
-			state: aborted ? 'aborted' : 'done',
-			revision,
-			taskCount,
-			doneCount,
-		})
+		this.archivedStates.set(uid, state)
 		for (const oldest of this.archivedStates.keys()) {
 			if (this.archivedStates.size <= this.retained) break
 			this.archivedStates.delete(oldest)
--- a/tests/stepped-controller.ts
+++ b/tests/stepped-controller.ts
@@ -229,8 +229,11 @@
 	/** Opens a stream as a Watch call does; null: it may not begin now; a text: the cursor is rejected. */
 	async open(selection: Selection, cursor = ''): Promise<Stream | string | null> {
 		await this.read()
-		const isPrepared = await new Promise<boolean>((done) => this.records.prepare(selection, done))
-		return isPrepared ? this.subscribe(selection, cursor) : null
+		return new Promise((done) => {
+			this.records.prepare(selection, (isComplete) =>
+				done(isComplete ? this.subscribe(selection, cursor) : null),
+			)
+		})
 	}
 
 	/** The second half of `open`. */
