Begin each stream of a watch by ids with the present state, and end the watch only with all terminal events

Symptom: a reader by ids misses a terminal event, and its watch ends as complete. Cause, common to all instances so far: the client resumed at a revision, and so trusted that every earlier server had told everything up to it; what one server lacked was final, and the next one called the stream complete. Now the reader's own list of what it lacks decides: a stream that broke is followed by one from the present state, known events are dropped, and a server that calls a watch complete too early is reported (onWarning, warningCount) and asked again, less and less often. A watch that begins at a caller's cursor goes on at cursors, as only the caller knows what was told before. Wire and cursors are as they were.

--- a/packages/cli/src/verbs.ts
+++ b/packages/cli/src/verbs.ts
@@ -70,6 +70,8 @@
 		grpc: target.grpcAddresses,
 		http: target.httpAddresses,
 		...(target.deadlineS === undefined ? {} : { deadlineMs: target.deadlineS * 1000 }),
+		onWarning: ({ kind, address, uids, watchId }) =>
+			process.stderr.write(`${address}: ${kind}, ${uids.length} jobs outstanding (watch ${watchId})\n`),
 	})
 	const interrupt = new AbortController()
 	process.once('SIGINT', () => interrupt.abort())
--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -1,12 +1,13 @@
 /** The client for users of an installation. */
 import { DeadlineOver, Interrupted } from './errors.js'
 import { callSignal } from './interruption.js'
-import { JobWatcher, type WatchOptions } from './job-watcher.js'
+import { JobWatcher, type WatchOptions, type WatchWarning } from './job-watcher.js'
 import { type CallOptions, RetryingCaller } from './retrying-caller.js'
 import { type Submission, toJobSpec } from './submission.js'
 import { isFinal, type JobEvent, type JobInfo, type Selection } from './transport.js'
 import { TransportPool } from './transport-pool.js'
 
+export type { WatchWarning } from './job-watcher.js'
 export type { CallOptions } from './retrying-caller.js'
 
 export interface ClientOptions {
@@ -20,6 +21,8 @@
 	tryMs?: number
 	/** between two polls of a job where there are no streams, in ms; 5 s by default */
 	pollMs?: number
+	/** called for what is wrong at a controller and worth a line in a log; the client goes on by itself */
+	onWarning?: (warning: WatchWarning) => void
 }
 
 const DEFAULT_OPTIONS: Required<ClientOptions> = {
@@ -28,6 +31,7 @@
 	deadlineMs: 60_000,
 	tryMs: 5000,
 	pollMs: 5000,
+	onWarning: () => {},
 }
 
 /**
@@ -38,6 +42,7 @@
 	private readonly transports: TransportPool
 	private readonly caller: RetryingCaller
 	private readonly watcher: JobWatcher
+	private warnings = 0
 
 	/** `random`: numbers from 0 to 1, for jitter and the first address. */
 	constructor(options: ClientOptions, random: () => number = Math.random) {
@@ -46,7 +51,16 @@
 			throw new TypeError('a client needs an address: grpc or http')
 		this.transports = new TransportPool(all, random)
 		this.caller = new RetryingCaller(this.transports, all, random)
-		this.watcher = new JobWatcher(this.transports, this.caller, all.pollMs, random)
+		const onWarning = (warning: WatchWarning) => {
+			this.warnings++
+			all.onWarning(warning)
+		}
+		this.watcher = new JobWatcher(this.transports, this.caller, all.pollMs, random, onWarning)
+	}
+
+	/** Warnings so far. */
+	get warningCount(): number {
+		return this.warnings
 	}
 
 	/**
@@ -92,7 +106,8 @@
 
 	/**
 	 * The states of jobs as they change, beginning with the present ones: of named jobs, which may be submitted later,
-	 * until all of them are terminal; or of a team's jobs, without an end. Each terminal state is delivered exactly once.
+	 * until all of them are terminal; or of a team's jobs, without an end. Each terminal state is delivered exactly once. A
+	 * watch of named jobs ends only once it has delivered the terminal state of each, unless it began at a cursor.
 	 * When a controller ends, the watch resumes at another one. Errors: `Interrupted`; `NeedsGrpc` for a team where no
 	 * gRPC address is known; `MalformedJob` for an id of another form.
 	 */
--- a/packages/client/src/job-watcher.ts
+++ b/packages/client/src/job-watcher.ts
@@ -22,6 +22,18 @@
 	cursor?: string
 }
 
+/** Something is wrong that the client mends by itself. */
+export interface WatchWarning {
+	/** a server ended a watch as complete, though the terminal event of some named jobs was not delivered */
+	kind: 'complete too early'
+	/** names the watch in the logs of controllers */
+	watchId: string
+	/** of the server */
+	address: string
+	/** the jobs whose terminal event is outstanding */
+	uids: readonly string[]
+}
+
 /** Polls are this share of the interval apart, at least and at most, so that clients do not poll together. */
 const POLL_JITTER = { min: 0.75, range: 0.5 } as const
 
@@ -29,18 +41,37 @@
 interface WatchProgress {
 	/** names the watch in the logs of controllers */
 	readonly watchId: string
-	/** where the next stream resumes; empty: it begins with the present state */
+	/** where the next stream resumes if it resumes at a cursor; empty: it begins with the present state */
 	cursor: string
+	/**
+	 * Whether streams resume at the cursor: those of a team, and those of a watch that began at a cursor of the caller, who
+	 * alone knows what was delivered before. All others begin with the present state, and what was delivered already is
+	 * dropped here: a cursor says that every state before it was delivered, and what one server lacks would be lost.
+	 */
+	resumesAtCursor: boolean
 	/** a stream had to begin anew */
 	hasGap: boolean
 	/** streams that a server began */
 	begunStreams: number
 	/** streams in a row that were rejected at their cursor, without an event in between */
 	rejectedCursors: number
+	/** streams in a row that were called complete too early */
+	earlyEnds: number
 	/** named jobs whose terminal state was delivered */
 	readonly terminalJobs: Set<string>
 }
 
+const createProgress = (selection: Selection, cursor: string): WatchProgress => ({
+	watchId: randomUUID(),
+	cursor,
+	resumesAtCursor: 'team' in selection || cursor !== '',
+	hasGap: false,
+	begunStreams: 0,
+	rejectedCursors: 0,
+	earlyEnds: 0,
+	terminalJobs: new Set(),
+})
+
 /** What a rejected cursor counts as, if it is not the first in a row. */
 const REJECTED_CURSOR: RetryableFailure = {
 	kind: 'retryable',
@@ -50,17 +81,33 @@
 	isUnreachable: false,
 }
 
+/** What a stream counts as that was called complete too early. */
+const COMPLETE_TOO_EARLY: RetryableFailure = {
+	kind: 'retryable',
+	text: 'the server lacks terminal states',
+	retryAfterMs: null,
+	mayBeAccepted: true,
+	isUnreachable: false,
+}
+
+/** The named jobs whose terminal event was not delivered; none where only the caller or the server knows. */
+const outstandingJobs = (selection: Selection, progress: WatchProgress): readonly string[] =>
+	'team' in selection || progress.resumesAtCursor
+		? []
+		: selection.uids.filter((uid) => !progress.terminalJobs.has(uid))
+
 /** The job that errors of a watch name; empty for a team. */
 const firstJobId = (selection: Selection): string => ('team' in selection ? '' : (selection.uids[0] ?? ''))
 
 /** Watches jobs. */
 export class JobWatcher {
-	/** `pollMs`: between two polls of the same job. */
+	/** `pollMs`: between two polls of the same job; `onWarning`: called for each warning. */
 	constructor(
 		private readonly transports: TransportPool,
 		private readonly caller: RetryingCaller,
 		private readonly pollMs: number,
 		private readonly random: () => number,
+		private readonly onWarning: (warning: WatchWarning) => void = () => {},
 	) {}
 
 	/** See `Client.watch`. */
@@ -68,34 +115,53 @@
 		const uid = firstJobId(selection)
 		const call = { uid, signal: callSignal(options.signal), mayBeAccepted: true }
 		if ('uids' in selection && selection.uids.length === 0) return
-		const progress: WatchProgress = {
-			watchId: randomUUID(),
-			cursor: options.cursor ?? '',
-			hasGap: false,
-			begunStreams: 0,
-			rejectedCursors: 0,
-			terminalJobs: new Set(),
-		}
+		const progress = createProgress(selection, options.cursor ?? '')
 		let failedGrpcTries = 0
 		for (let tries = 1; ; tries++) {
 			throwIfInterrupted(call)
 			const { transport, candidateCount } = await this.transports.choose(failedGrpcTries)
 			const { cursor: cursorBefore, begunStreams: begunBefore } = progress
-			const end = yield* this.watchAt(transport, selection, progress, call)
+			const streamEnd = yield* this.watchAt(transport, selection, progress, call)
+			const end = this.checkedEnd(streamEnd, transport, selection, progress)
 			if (end.kind === 'complete') return
 			throwIfInterrupted(call)
 			if (end.kind === 'rejected') throw rejectionError(end, uid, false)
 			if (end.kind === 'restart') {
-				await this.beginAnew(progress, candidateCount, call)
+				await this.beginAnew(selection, progress, candidateCount, call)
 				continue
 			}
 			failedGrpcTries = end.lacksGrpc ? failedGrpcTries + 1 : 0
 			// A stream that began was a good one, also without an event: the delays begin anew.
 			if (progress.cursor !== cursorBefore || progress.begunStreams > begunBefore) tries = 1
 			this.transports.advance()
-			const retryContext = { tries, failure: end, addressCount: candidateCount, random: this.random }
-			await delay(retryDelayMs(retryContext), call)
+			await this.backOff(Math.max(tries, progress.earlyEnds), end, candidateCount, call)
+		}
+	}
+
+	/** A stream that was called complete while terminal events are outstanding counts as a failed one. */
+	private checkedEnd(
+		end: StreamEnd,
+		{ address }: Transport,
+		selection: Selection,
+		progress: WatchProgress,
+	): StreamEnd {
+		const uids = end.kind === 'complete' ? outstandingJobs(selection, progress) : []
+		if (uids.length === 0) {
+			progress.earlyEnds = 0
+			return end
 		}
+		progress.earlyEnds++
+		this.onWarning({ kind: 'complete too early', watchId: progress.watchId, address, uids })
+		return COMPLETE_TOO_EARLY
+	}
+
+	private backOff(
+		tries: number,
+		failure: RetryableFailure,
+		addressCount: number,
+		call: InterruptibleCall,
+	): Promise<void> {
+		return delay(retryDelayMs({ tries, failure, addressCount, random: this.random }), call)
 	}
 
 	/**
@@ -103,16 +169,17 @@
 	 * begins at once; a server that goes on rejecting is asked less and less often.
 	 */
 	private async beginAnew(
+		selection: Selection,
 		progress: WatchProgress,
 		addressCount: number,
 		call: InterruptibleCall,
 	): Promise<void> {
 		progress.cursor = ''
+		progress.resumesAtCursor = 'team' in selection
 		progress.hasGap = true
 		const tries = progress.rejectedCursors++
 		if (tries === 0) return
-		const retryContext = { tries, failure: REJECTED_CURSOR, addressCount, random: this.random }
-		await delay(retryDelayMs(retryContext), call)
+		await this.backOff(tries, REJECTED_CURSOR, addressCount, call)
 	}
 
 	private watchAt(
@@ -127,7 +194,8 @@
 			progress.begunStreams++
 			if (progress.cursor === '') progress.cursor = cursor
 		}
-		const request = { selection, cursor: progress.cursor, watchId: progress.watchId }
+		const cursor = progress.resumesAtCursor ? progress.cursor : ''
+		const request = { selection, cursor, watchId: progress.watchId }
 		const events = transport.watch(request, call.signal, onStart)
 		return this.stream(events, selection, progress)
 	}
