--- a/packages/testkit/src/invariant-checker.ts
+++ b/packages/testkit/src/invariant-checker.ts
@@ -3,6 +3,7 @@
  * for each broken rule; knows nothing of the controllers' internals.
  */
 import type { JobSpec } from '@heathroad/wire'
+import { UnansweredJobCheck } from './unanswered-job-check.js'
 import { type MachineCapacity, WaitingJobCheck } from './waiting-job-check.js'
 
 export type { MachineCapacity } from './waiting-job-check.js'
@@ -68,6 +69,7 @@
 	/** submissions that must never be accepted */
 	private readonly invalid = new Set<string>()
 	private readonly waitingJobCheck = new WaitingJobCheck()
+	private readonly unansweredJobCheck = new UnansweredJobCheck()
 
 	/** `cancelMs`: how long tasks of a cancelled job may still run; `limits`: CPUs by team. */
 	constructor(
@@ -119,6 +121,8 @@
 	observeQuery(uid: string, answered: boolean): void {
 		const job = this.jobs.get(uid)
 		if (job === undefined || job.state === null) return
+		if (this.unansweredJobCheck.observe(uid, answered, this.now()))
+			this.violation('unanswered', `${uid}, while most questions about other jobs are answered`)
 		if (answered) {
 			job.unansweredSince = null
 			return
@@ -181,6 +185,7 @@
 			return
 		}
 		job.begunAt ??= this.now()
+		if (job.state === 'done') this.violation('ran_again', `${task} on ${machine}, its job is done`)
 		const { spec } = job
 		const wrongPlace =
 			(spec.types !== null && !spec.types.includes(type)) ||
@@ -283,6 +288,11 @@
 		return failures
 	}
 
+	/** Jobs that a user observed in a terminal state, in the order of their submission. */
+	finishedJobs(): string[] {
+		return [...this.jobs].filter(([, job]) => isTerminal(job.state)).map(([uid]) => uid)
+	}
+
 	/** The latest state of a job that a user observed; null: none. */
 	observedState(uid: string): string | null {
 		return this.jobs.get(uid)?.state ?? null
--- a/tests/invariant-checker.test.ts
+++ b/tests/invariant-checker.test.ts
@@ -26,6 +26,26 @@
 	}
 }
 
+/** A user asks every 3 s about the job, in vain, and about another one, `answered` times in a hundred with an answer. */
+const silentBesideAnother = (w: Watch, fromS: number, toS: number, answered = 100) => {
+	const other = 'job-000002'
+	w.invariants.jobSubmitted(arrayJob(other))
+	w.invariants.observeStatus(other, 201, 'pending', null)
+	for (let s = fromS, asked = 0; s <= toS; s += 3, asked++) {
+		silent(w, s, s)
+		const before = Math.floor((asked * answered) / 100)
+		w.invariants.observeQuery(other, Math.floor(((asked + 1) * answered) / 100) > before)
+	}
+}
+/** The job's only two tasks run and are done, and a user hears of it. */
+const done = (w: Watch) => {
+	for (const n of [0, 1]) {
+		place(w, `${UID}/${n}`)
+		w.invariants.taskGone(`${UID}/${n}`, 'i-1')
+		finish(w, n)
+	}
+	w.invariants.observeStatus(UID, 200, 'done', 'pending')
+}
 const finish = ({ invariants }: Watch, n: number) => invariants.taskCompleted(`${UID}/${n}`)
 const count = ({ invariants }: Watch, now: number, before: number) =>
 	invariants.observeStatus(UID, 200, 'running', 'running', { now, before })
@@ -104,6 +124,32 @@
 			(w) => [cancel(w), w.invariants.observeStatus(UID, 200, 'running', 'aborted')],
 			'went_back',
 		],
+		['done once', (w) => done(w), null],
+		['done, and started again', (w) => [done(w), place(w)], 'ran_again'],
+		['done, and unknown', (w) => [done(w), w.invariants.observeStatus(UID, 404, null, 'done')], 'forgotten'],
+		[
+			'done, and accepted as if it were new',
+			(w) => [done(w), w.invariants.observeStatus(UID, 201, 'done', 'done')],
+			'accepted_again',
+		],
+		[
+			'done, and then not',
+			(w) => [done(w), w.invariants.observeStatus(UID, 200, 'pending', 'done')],
+			'went_back',
+		],
+		['no answer for 87 s while another job has one', (w) => silentBesideAnother(w, 1, 88), null],
+		['no answer for 90 s while another job has one', (w) => silentBesideAnother(w, 1, 91), 'unanswered'],
+		['no answer for 90 s while no other has one either', (w) => silentBesideAnother(w, 1, 99, 0), null],
+		['no answer for 90 s while most of the others have none', (w) => silentBesideAnother(w, 1, 99, 45), null],
+		[
+			'an answer after 60 s, then none for 87 s',
+			(w) => [
+				silentBesideAnother(w, 1, 61),
+				w.invariants.observeQuery(UID, true),
+				silentBesideAnother(w, 64, 151),
+			],
+			null,
+		],
 		['known already', (w) => w.invariants.observeStatus(UID, 200, 'pending', 'pending'), null],
 		[
 			'accepted as if it were new',
