--- a/packages/testkit/src/controller-http-client.ts
+++ b/packages/testkit/src/controller-http-client.ts
@@ -18,6 +18,8 @@
 const MACHINE_PREFIX = 'i-'
 /** When a transaction whose response is lost is carried out late: so many ms after it was sent. */
 const LATE_WRITE_MS = { min: 2000, max: 12_000 }
+/** How long the answer to a late watch is on its way. */
+const LATE_WATCH_MS = { min: 100, max: 1500 }
 
 /** What the HTTP client of a controller needs of the simulation. */
 export interface ControllerHttpClientPorts {
@@ -29,6 +31,8 @@
 	machines: SimulatedMachines
 	/** controllers whose reads of the state service get no response */
 	watchless: ReadonlySet<number>
+	/** controllers whose watches are answered late */
+	lateWatchers: ReadonlySet<number>
 	/** index of the controller with this peer address; -1: none */
 	peerAt(address: string): number
 	/** returns whether the present incarnation of a controller still runs */
@@ -83,9 +87,16 @@
 	else sendToPeer(ports, request)
 }
 
+/** Takes a response some time after it has arrived. */
+const lateReply = (clock: Clock, reply: OutgoingRequest['reply']): OutgoingRequest['reply'] => {
+	return (response) => {
+		clock.after(clock.between(LATE_WATCH_MS.min, LATE_WATCH_MS.max), () => reply(response))
+	}
+}
+
 const sendToState = (ports: ControllerHttpClientPorts, request: OutgoingRequest): void => {
 	const { controller, method, path, body, reply } = request
-	const { clock, faults, state, network, watchless } = ports
+	const { clock, faults, state, network, watchless, lateWatchers } = ports
 	if (method === 'GET' && watchless.has(controller)) return
 	if (path === '/txn' && faults.happens('delayedTransactions')) {
 		const carryOut = () => state.handle(method, path, body, () => {}, controller)
@@ -93,12 +104,14 @@
 		return
 	}
 	const responseLost = path === '/txn' && faults.happens('lostTransactionResponses')
+	const isLate = path.startsWith('/watch') && lateWatchers.has(controller)
+	const arrive = isLate ? lateReply(clock, reply) : reply
 	network.deliver({
 		link: { kind: 'state', controller },
 		ends: { from: controller, to: null },
 		isAlive: () => true,
 		serve: () => new Promise((done) => state.handle(method, path, body, done, controller)),
-		reply: responseLost ? () => {} : reply,
+		reply: responseLost ? () => {} : arrive,
 	})
 }
 
--- a/packages/testkit/src/fault-injection.ts
+++ b/packages/testkit/src/fault-injection.ts
@@ -23,6 +23,8 @@
 	workload: UserWorkload
 	/** controllers whose reads of the state service get no response */
 	watchless: Set<number>
+	/** controllers whose watches are answered late */
+	lateWatchers: Set<number>
 }
 
 /** A fault with its defaults filled in. */
@@ -119,6 +121,7 @@
 	},
 	stateRejects: (targets, { who, forMs }) => addFor(targets, targets.state.refuses, who, forMs),
 	watchLost: (targets, { who, forMs }) => addFor(targets, targets.watchless, who, forMs),
+	lateWatch: (targets, { who, forMs }) => addFor(targets, targets.lateWatchers, who, forMs),
 	slowState: ({ clock, network }, { forMs }) => {
 		network.stateLatencyMs = SLOW_STATE_MS
 		clock.after(forMs, () => {
@@ -171,6 +174,7 @@
 	cancelAtCompletion: beginUserBehaviour('cancelAtCompletion'),
 	closeLooks: beginUserBehaviour('closeLooks'),
 	oddRequests: ({ workload }, { forMs }) => workload.sendOddRequests(forMs),
+	finishedJobRequests: ({ workload }, { forMs }) => workload.requestFinishedJobs(forMs),
 	pollStorm: ({ clock, workload }, { factor, forMs }) => {
 		workload.pollFactor = factor ?? DEFAULT_POLL_FACTOR
 		clock.after(forMs, () => {
--- a/packages/testkit/src/random-day-runner.ts
+++ b/packages/testkit/src/random-day-runner.ts
@@ -3,12 +3,16 @@
 import { playPluginDay } from './plugin-days.js'
 import { randomCompoundFaultDay } from './random-compound-faults.js'
 import { randomDay } from './random-days.js'
+import { randomMigrationDay } from './random-migration-days.js'
 import { randomPluginDay } from './random-plugin-days.js'
 import { Simulation } from './simulation.js'
 import type { TracedMessage } from './trace.js'
 
-/** Kinds of days: of any random faults, those with plug-ins, double outages (`gap`), and compound faults (`meetings`). */
-export type RandomDayKind = 'any' | 'plugins' | 'gap' | 'meetings'
+/**
+ * Kinds of days: of any random faults, those with plug-ins, double outages (`gap`), compound faults (`meetings`), and a
+ * late change of the record format (`migration`).
+ */
+export type RandomDayKind = 'any' | 'plugins' | 'gap' | 'meetings' | 'migration'
 
 /** What follows a day as it is played. */
 export interface DayObservers {
@@ -37,7 +41,12 @@
 	{ tell = () => {}, trace }: DayObservers = {},
 ): Promise<Simulation> => {
 	if (kind === 'plugins') return (await playPluginDay(randomPluginDay(seed), tell, trace)).simulation
-	const createDay = { any: randomDay, gap: randomDoubleOutageDay, meetings: randomCompoundFaultDay }[kind]
+	const createDay = {
+		any: randomDay,
+		gap: randomDoubleOutageDay,
+		meetings: randomCompoundFaultDay,
+		migration: randomMigrationDay,
+	}[kind]
 	const simulation = new Simulation(createDay(seed))
 	simulation.tell = tell
 	simulation.trace = trace ?? null
--- a/packages/testkit/src/simulation.ts
+++ b/packages/testkit/src/simulation.ts
@@ -57,6 +57,8 @@
 	private readonly balancer: FakeLoadBalancer
 	/** controllers whose reads of the state service get no response, while all else does */
 	private readonly watchless = new Set<number>()
+	/** controllers whose watches are answered late, while all else is answered at once */
+	private readonly lateWatchers = new Set<number>()
 	private readonly specs = new Map<string, JobSpec>()
 
 	/** Called with every new incarnation of a controller, before it begins. */
@@ -182,8 +184,20 @@
 	}
 
 	private faultTargets(): FaultTargets {
-		const { clock, controllers, machines, network, messageFaults, state, cloud, workload, watchless } = this
-		return { clock, controllers, machines, network, messageFaults, state, cloud, workload, watchless }
+		const { clock, controllers, machines, network, messageFaults, state, cloud, workload } = this
+		const { watchless, lateWatchers } = this
+		return {
+			clock,
+			controllers,
+			machines,
+			network,
+			messageFaults,
+			state,
+			cloud,
+			workload,
+			watchless,
+			lateWatchers,
+		}
 	}
 
 	/** Checks the invariants every second, and asks a controller about a job that nobody submitted. */
@@ -232,7 +246,8 @@
 	}
 
 	private httpClient(controller: number) {
-		const { clock, network, messageFaults, state, cloud, machines, watchless, controllers } = this
+		const { clock, network, messageFaults, state, cloud, machines, watchless, lateWatchers, controllers } =
+			this
 		return controllerHttpClient(
 			{
 				clock,
@@ -242,6 +257,7 @@
 				cloud,
 				machines,
 				watchless,
+				lateWatchers,
 				peerAt: (address) => controllers.peerAt(address),
 				aliveCheck: (peer) => controllers.aliveCheck(peer),
 				answerPeer: (from, to, path, body) => controllers.answerPeer(from, to, path, body),
--- a/packages/testkit/src/user-workload.ts
+++ b/packages/testkit/src/user-workload.ts
@@ -61,6 +61,10 @@
 const MAX_HUNG_MACHINES = 8
 /** Pause between odd requests. */
 const ODD_PAUSE_MS = { min: 100, max: 500 }
+/** Distance of two requests about finished jobs. */
+const FINISHED_JOB_PAUSE_MS = { min: 20, max: 100 }
+/** Shares of the requests about finished jobs that repeat the submission or cancel the job; the others are questions. */
+const FINISHED_JOB_SHARES = { resubmit: 0.35, cancel: 0.1 }
 /** Number in the id of the first odd job; no other job has these. */
 const FIRST_ODD_JOB = 800_000
 
@@ -123,6 +127,18 @@
 		next()
 	}
 
+	/** For a while requests about finished jobs go to any controllers, at short distances. */
+	requestFinishedJobs(forMs: number): void {
+		const { clock } = this.ports
+		const untilMs = clock.nowMs + forMs
+		const next = () => {
+			if (clock.nowMs >= untilMs) return
+			this.requestFinishedJob()
+			clock.after(clock.between(FINISHED_JOB_PAUSE_MS.min, FINISHED_JOB_PAUSE_MS.max), next)
+		}
+		next()
+	}
+
 	/** Sends a request about a job and reports what the user observes; null as controller: none is healthy. */
 	private request(
 		uid: string,
@@ -263,6 +279,20 @@
 		this.sendInvalidSubmission(spec, turn, controller)
 	}
 
+	/** A question, a repeated submission or a cancellation of any finished job. */
+	private requestFinishedJob(): void {
+		const { clock, invariants } = this.ports
+		const uids = invariants.finishedJobs()
+		const spec = this.specs.get(uids[Math.floor(clock.random() * uids.length)])
+		if (spec === undefined) return
+		const { resubmit, cancel } = FINISHED_JOB_SHARES
+		const draw = clock.random()
+		const controller = this.randomController()
+		if (draw < resubmit) this.request(spec.uid, controller, this.submission(spec))
+		else if (draw < resubmit + cancel) this.request(spec.uid, controller, this.cancellation(spec.uid))
+		else this.request(spec.uid, controller, this.query(spec.uid))
+	}
+
 	private sendInvalidSubmission(spec: JobSpec, turn: number, controller: number): void {
 		const { clock, invariants } = this.ports
 		const uid = `job-${FIRST_ODD_JOB + turn}`
--- a/scripts/hunt-days.mjs
+++ b/scripts/hunt-days.mjs
@@ -1,5 +1,5 @@
 // Plays days of random faults in virtual time:
-//   npm run hunt:days [-- --from N --to N --lanes N --count EVENT --kind any|plugins|gap|meetings]
+//   npm run hunt:days [-- --from N --to N --lanes N --count EVENT --kind any|plugins|gap|meetings|migration]
 // Exits 1 if a rule was broken or a job never ended, and prints the seed, which gives the same day again.
 import { availableParallelism } from 'node:os'
 import { parseArgs } from 'node:util'
--- a/scripts/trace-days.mjs
+++ b/scripts/trace-days.mjs
@@ -1,5 +1,5 @@
 // Plays days in virtual time and prints a digest of all messages that controllers send and receive on each of them:
-//   npm run trace:days -- [--kind any|plugins|gap|meetings|streams] [--from N] [--to N] [--jobs N] [--out FILE | --check FILE]
+//   npm run trace:days -- [--kind any|plugins|gap|meetings|migration|streams] [--from N] [--to N] [--jobs N] [--out FILE | --check FILE]
 //   npm run trace:days -- [--kind K] --dump SEED [--out FILE]
 // --out keeps the digests. --check compares with kept ones, prints the seeds that differ and exits 1 if there are any.
 // --dump writes the messages of one seed as lines of text, so that those of two versions can be compared.
@@ -13,7 +13,7 @@
 
 /** A day takes seconds; one that takes so long goes round in circles. */
 const DAY_LIMIT_MS = 120_000
-const KINDS = ['any', 'plugins', 'gap', 'meetings', 'streams']
+const KINDS = ['any', 'plugins', 'gap', 'meetings', 'migration', 'streams']
 const ONE_DAY = fileURLToPath(new URL('trace-day.mjs', import.meta.url))
 
 const run = promisify(execFile)
