--- a/packages/server/src/archival-controller.ts
+++ b/packages/server/src/archival-controller.ts
@@ -123,7 +123,9 @@
 	}
 
 	provesAbsent(uid: string): boolean {
-		return !this.retention.searchScope().ownKeys && this.reader.provesAbsent(uid)
+		const { ownKeys, hasOmittedStates, archive } = this.retention.searchScope()
+		if (!archive && !hasOmittedStates) return true
+		return !ownKeys && this.reader.provesAbsent(uid)
 	}
 
 	latestRevision(): Effect.Effect<number | null> {
--- a/packages/server/src/job-locator.ts
+++ b/packages/server/src/job-locator.ts
@@ -22,8 +22,10 @@
 
 /** Places outside memory that may hold terminal states. */
 export interface SearchScope {
-	/** jobs' own keys of the first record format that full reads left out of memory */
+	/** jobs' own keys, as long as the first record format is in use */
 	ownKeys: boolean
+	/** whether full reads have left terminal states under own keys out of memory; else memory holds all of them */
+	hasOmittedStates: boolean
 	/** the levels of the archive */
 	archive: boolean
 }
@@ -58,6 +60,8 @@
  * 2. Memory, once it has applied every change up to the read of the own key. States leave it for the archive.
  * 3. The archive, from the first level down (`ArchiveReader`).
  *
+ * Where no full read has left a state out, memory proves absence alone, and the read of the own key is a second look.
+ *
  * @param ownKeyEmptyAt revision at which the job's own key held no terminal state; null: it was not read yet
  */
 export const nextSearchStep = (memory: MemoryView, ownKeyEmptyAt: number | null): SearchStep => {
@@ -67,8 +71,10 @@
 	let asOf = revision
 	if (scope.ownKeys) {
 		if (ownKeyEmptyAt === null || ownKeyEmptyAt < fullReadRevision) return { kind: 'read own key' }
-		if (revision < ownKeyEmptyAt) return { kind: 'refresh memory', revision: ownKeyEmptyAt }
-		asOf = ownKeyEmptyAt
+		if (scope.hasOmittedStates) {
+			if (revision < ownKeyEmptyAt) return { kind: 'refresh memory', revision: ownKeyEmptyAt }
+			asOf = ownKeyEmptyAt
+		}
 	}
 	if (scope.archive) return { kind: 'search archive', asOf }
 	return { kind: 'located', location: { kind: 'absent', asOf } }
--- a/packages/server/src/terminal-state-retention.ts
+++ b/packages/server/src/terminal-state-retention.ts
@@ -19,6 +19,10 @@
 export const historyRecord = (context: ControllerContext): HistoryRecord | null =>
 	decodeHistoryRecord(context.cache.get(HISTORY_KEY)?.data)
 
+/** Tells whether terminal states may stand under own keys that a full read leaves out of memory. */
+const usesOwnKeys = (context: ControllerContext, record: HistoryRecord | null): boolean =>
+	record === null ? context.config.history !== null : record.legacy
+
 /**
  * Terminal states under keys of their own, which the first record format kept for ever, are left out of full reads:
  * 200,000 of them take more memory than a controller has.
@@ -38,7 +42,11 @@
 	/** Returns where terminal states may be that are not in memory. */
 	searchScope(): SearchScope {
 		const record = historyRecord(this.context)
-		return { ownKeys: this.hasOmittedStates && (record?.legacy ?? true), archive: record !== null }
+		return {
+			ownKeys: usesOwnKeys(this.context, record),
+			hasOmittedStates: this.hasOmittedStates,
+			archive: record !== null,
+		}
 	}
 
 	/** See `latestFullReadRevision`. */
@@ -74,8 +82,7 @@
 		private readonly context: ControllerContext,
 		private readonly onOmitted: (uid: string, record: JobRecord, revision: number) => void,
 	) {
-		const record = historyRecord(context)
-		this.omitsLegacyStates = record === null ? context.config.history !== null : record.legacy
+		this.omitsLegacyStates = usesOwnKeys(context, historyRecord(context))
 	}
 
 	/**
--- a/tests/job-locator-model.test.ts
+++ b/tests/job-locator-model.test.ts
@@ -383,7 +383,11 @@
 		location: locationInMemory(searcher),
 		revision: searcher.view.revision,
 		fullReadRevision: searcher.fullReadRevision,
-		scope: { ownKeys: searcher.hasOmittedStates && (history?.legacy ?? true), archive: history !== null },
+		scope: {
+			ownKeys: history?.legacy ?? true,
+			hasOmittedStates: searcher.hasOmittedStates,
+			archive: history !== null,
+		},
 	}
 }
 
--- a/tests/job-locator.test.ts
+++ b/tests/job-locator.test.ts
@@ -19,10 +19,10 @@
 const ARCHIVED_JOB = { ordinal: '000001', aborted: false, taskCount: 1, doneCount: 1, revision: 3 }
 const UNKNOWN: SearchStep = { kind: 'located', location: { kind: 'unknown' } }
 
-const NOWHERE: SearchScope = { ownKeys: false, archive: false }
-const ARCHIVE: SearchScope = { ownKeys: false, archive: true }
-const OWN_KEYS: SearchScope = { ownKeys: true, archive: false }
-const EVERYWHERE: SearchScope = { ownKeys: true, archive: true }
+const NOWHERE: SearchScope = { ownKeys: false, hasOmittedStates: true, archive: false }
+const ARCHIVE: SearchScope = { ownKeys: false, hasOmittedStates: true, archive: true }
+const OWN_KEYS: SearchScope = { ownKeys: true, hasOmittedStates: true, archive: false }
+const EVERYWHERE: SearchScope = { ownKeys: true, hasOmittedStates: true, archive: true }
 
 const memory = (changes: Partial<MemoryView> = {}): MemoryView => ({
 	location: null,
@@ -55,6 +55,12 @@
 		11,
 		{ kind: 'refresh memory', revision: 11 },
 	],
+	[
+		'the own key was read after what memory shows, and no full read has left a state out',
+		memory({ scope: { ...EVERYWHERE, hasOmittedStates: false } }),
+		11,
+		{ kind: 'search archive', asOf: 10 },
+	],
 	['the own key was read when memory was the same', memory(), 10, { kind: 'search archive', asOf: 10 }],
 	['the own key was read before what memory shows', memory(), 7, { kind: 'search archive', asOf: 7 }],
 	[
--- a/tests/missed-changes.test.ts
+++ b/tests/missed-changes.test.ts
@@ -108,7 +108,7 @@
 		},
 		cache: { revision: 7 },
 		archive: {
-			searchScope: () => ({ ownKeys: false, archive: true }),
+			searchScope: () => ({ ownKeys: false, hasOmittedStates: false, archive: true }),
 			fullReadRevision: () => 1,
 			cached: () => undefined,
 			provesAbsent: () => false,
--- a/tests/submission-queue.test.ts
+++ b/tests/submission-queue.test.ts
@@ -45,7 +45,7 @@
 		},
 		archive: {
 			archivalEpoch: () => state.archivalEpoch,
-			searchScope: () => ({ ownKeys: false, archive: true }),
+			searchScope: () => ({ ownKeys: false, hasOmittedStates: false, archive: true }),
 			fullReadRevision: () => 1,
 			cached: () => undefined,
 			provesAbsent: () => state.provesAbsent,
