Keep waiting jobs in a shard while the agents of machines that answered a probe look for its new owner

Cause, by trace: shard 0 is taken over at 13.6 s, its four machines answer the probe at once, and none reports to the owner that lives for 3.4 s, since an agent waits for a dead owner for 4 s. After 2.5 heartbeats (1.25 s) the shard counts as partitioned, and after half an agent lease (3.2 s) its job goes to shard 1, which has no machine left and rents one. That load alone decided is excluded: shard 1 had no CPUs on record, and a partitioned shard gives its jobs to any other.

Now no job leaves within the 5.5 s that the protocol lets an agent search, while a machine that answered a probe is still unheard. With agent leases of 11 s and more nothing changes: there a job stays for half a lease in any case.

--- a/packages/controller/src/failure-detector.ts
+++ b/packages/controller/src/failure-detector.ts
@@ -24,6 +24,12 @@
 /** A tick later than this share of a controller lease means that the process was paused and received nothing. */
 const PAUSE_CONTROLLER_LEASES = 0.2
 
+/**
+ * What an agent takes to find a new owner at the longest, in ms (protocol): it gives up the former one after 4 s, tries the
+ * next controller 1 s later, and follows that one's redirect within 0.5 s.
+ */
+const MAX_OWNER_SEARCH_MS = 4000 + 1000 + 500
+
 /** Share of a controller lease after a takeover in which unconfirmed machines do not count as unreachable. */
 const TAKEOVER_GRACE_CONTROLLER_LEASES = 0.4
 
@@ -64,6 +70,14 @@
 		return now - Math.max(lastSignAt, this.manySilentAt) >= minSilenceMs
 	}
 
+	/** Are there machines that answered a probe since the takeover, and whose agents may still look for this owner? */
+	mayAgentsSearchOwner(now: number): boolean {
+		if (now - this.takenOverAt >= MAX_OWNER_SEARCH_MS) return false
+		for (const { addressRecorded, reconciled, heartbeatReceived } of this.state.machines.values())
+			if (addressRecorded && reconciled && !heartbeatReceived) return true
+		return false
+	}
+
 	/** Count of machines that missed a heartbeat. */
 	missedHeartbeats(now: number): number {
 		const dueSince = now - this.state.config.limits.heartbeatMs * MISSED_HEARTBEAT_INTERVALS
--- a/packages/controller/src/job-migrator.ts
+++ b/packages/controller/src/job-migrator.ts
@@ -2,6 +2,7 @@
 import { moveJobToShard } from '@heathroad/cluster'
 import { type TransactionContent, WritePriority, type WriteResult } from '@heathroad/store'
 import type { JobSpec } from '@heathroad/wire'
+import type { FailureDetector } from './failure-detector.js'
 import type { JobRun } from './model.js'
 import type { ShardState } from './state.js'
 
@@ -30,7 +31,10 @@
 export class JobMigrator {
 	private readonly migrationsByUid = new Map<string, Migration>()
 
-	constructor(private readonly state: ShardState) {}
+	constructor(
+		private readonly state: ShardState,
+		private readonly failureDetector: FailureDetector,
+	) {}
 
 	/**
 	 * Starts migrations, as many as half of this controller's share of the writes takes until the next tick. `now` is steady
@@ -39,6 +43,8 @@
 	tick(now: number, everyMs: number): void {
 		const { ports, config } = this.state
 		if (!this.state.reconciled || ports.leadership() !== 'lease') return
+		// Machines that are up take the jobs as soon as their agents are here: other shards may have to rent for them.
+		if (this.failureDetector.mayAgentsSearchOwner(now)) return
 		const writes = (config.limits.writesPerS * everyMs * WRITE_SHARE) / 1000
 		let remaining = Math.max(1, Math.ceil(writes)) - this.migrationsByUid.size
 		let findTarget: ((spec: JobSpec) => number | null) | null = null
--- a/packages/controller/src/shard.ts
+++ b/packages/controller/src/shard.ts
@@ -75,9 +75,9 @@
 		const scheduler = new Scheduler(state, this.scaleOut)
 		this.scheduler = scheduler
 		this.progress = new ProgressWriter(state)
-		this.jobMigrator = new JobMigrator(state)
 		this.gate = new AdmissionGate(state, (uid) => this.jobLifecycle.onReleased(uid))
 		this.failureDetector = new FailureDetector(state)
+		this.jobMigrator = new JobMigrator(state, this.failureDetector)
 		// Components that depend on each other are connected through callbacks; none is called before all of them exist.
 		const reconcile = (machine: Machine, heartbeat: Heartbeat) =>
 			reconciler.reconcile(machine, heartbeat, { followsResponse: false })
