Count a machine's boot from when its rental became known here, not from the takeover

Symptom: a machine that never boots is waited for again by the next owner of its shard for 1.8 boots, and charged for 3.

Cause: an owner counts a boot from when it found the machine in the records, which is its takeover, though its process may have followed the records for hours.

Now the watch cache keeps when each change arrived, and the shard takes that as the beginning of the boot. Of what a full read finds the age stays unknown, and counts from the takeover as before. Nothing is stored or sent.

--- a/packages/controller/src/model.ts
+++ b/packages/controller/src/model.ts
@@ -70,7 +70,7 @@
 	heartbeatSequence: WireInteger
 	/** latest time at which any controller can have answered one of its heartbeats */
 	lastHeartbeatAt: number
-	/** when it was rented, or found in the records */
+	/** when it was recorded as rented, as far as this controller knows; else when it was found in the records */
 	discoveredAt: number
 	/** by key */
 	attempts: Map<string, Attempt>
--- a/packages/controller/src/new-machine.ts
+++ b/packages/controller/src/new-machine.ts
@@ -11,12 +11,14 @@
 	fencingToken: number
 	/** steady time in ms */
 	now: number
+	/** when the record that names it became known here, steady time in ms */
+	recordedAt: number
 }
 
 /** A machine without attempts. One with a recorded address has booted, and may hold tasks of a former owner. */
 export const newMachine = (
 	id: string,
-	{ groupName, record, type, fencingToken, now }: MachineOrigin,
+	{ groupName, record, type, fencingToken, now, recordedAt }: MachineOrigin,
 ): Machine => {
 	const address = record.addresses[id] ?? null
 	return {
@@ -34,7 +36,7 @@
 		agentEpoch: 0,
 		heartbeatSequence: 0,
 		lastHeartbeatAt: now,
-		discoveredAt: now,
+		discoveredAt: recordedAt,
 		attempts: new Map(),
 		cachedImages: new Map(),
 		preemptionDeadline: null,
--- a/packages/controller/src/shard.ts
+++ b/packages/controller/src/shard.ts
@@ -133,7 +133,7 @@
 			if (record?.shardId !== this.shardId) continue
 			const name = key.slice(MACHINE_GROUP_PREFIX.length)
 			if (record.requestedCount > 0) openRentals.push([name, record])
-			for (const id of Object.keys(record.addresses)) this.state.addMachine(id, name, record)
+			for (const id of Object.keys(record.addresses)) this.state.addMachine(id, name, record, entry.arrivedAt)
 		}
 		return openRentals
 	}
--- a/packages/controller/src/state.ts
+++ b/packages/controller/src/state.ts
@@ -115,14 +115,16 @@
 		return type ?? unknownMachineType(name, this.config.limits.agentLeaseMs / 1000)
 	}
 
-	/** Adds a machine of a machine group's record. */
-	addMachine(id: string, groupName: string, record: MachineGroupRecord): Machine {
+	/** Adds a machine of a machine group's record, which became known at a time: now if not given. */
+	addMachine(id: string, groupName: string, record: MachineGroupRecord, recordedAt?: number): Machine {
+		const now = this.ports.now()
 		const machine = newMachine(id, {
 			groupName,
 			record,
 			type: this.machineTypeNamed(record.machineType),
 			fencingToken: this.fencingToken,
-			now: this.ports.now(),
+			now,
+			recordedAt: recordedAt ?? now,
 		})
 		this.machines.set(id, machine)
 		this.recomputeFreeResources(machine)
--- a/packages/store/src/watch-cache.ts
+++ b/packages/store/src/watch-cache.ts
@@ -15,6 +15,8 @@
 export interface CacheEntry {
 	data: unknown
 	modRevision: number
+	/** steady time at which the change arrived here; undefined: it was found by a full read, and may be of any age */
+	arrivedAt?: number
 }
 
 /** Called for every key whose content differs from what was known; undefined: the key is absent. */
@@ -84,17 +86,17 @@
 
 	/** Applies a write of this controller that was confirmed, before the watch reports it. */
 	applyOwnWrite(key: string, data: unknown, modRevision: number): void {
-		this.put(key, data, modRevision)
+		this.put(key, data, modRevision, this.now())
 	}
 
-	private put(key: string, data: unknown, modRevision: number): void {
+	private put(key: string, data: unknown, modRevision: number, arrivedAt?: number): void {
 		const before = this.entries.get(key)
 		if (before !== undefined && before.modRevision >= modRevision) return
 		if (data === undefined) {
 			if (before !== undefined) this.remove(key, before)
 			return
 		}
-		const entry = { data, modRevision }
+		const entry = arrivedAt === undefined ? { data, modRevision } : { data, modRevision, arrivedAt }
 		this.entries.set(key, entry)
 		this.onChange(key, entry, before)
 	}
@@ -110,9 +112,10 @@
 	 */
 	applyEvents(revision: number, log: readonly KeyValue[]): void {
 		const appliedRevision = this.revision
+		const arrivedAt = this.now()
 		for (const { key, data, modRevision } of log) {
 			if (modRevision <= appliedRevision || !key.startsWith(KEY_PREFIX)) continue
-			this.put(withoutPrefix(key), data, modRevision)
+			this.put(withoutPrefix(key), data, modRevision, arrivedAt)
 		}
 		this.advance(revision)
 	}
--- a/tests/store.test.ts
+++ b/tests/store.test.ts
@@ -226,3 +226,25 @@
 	const requests = state.readsBegunAt.length
 	assert.ok(requests <= 103, `${requests} requests for 1000 reads in 10 s, 100 ms apart at least`)
 })
+
+test('the cache knows when a change arrived, but not the age of what its first read found', () => {
+	let nowMs = 1000
+	const cache = new WatchCache(
+		() => {},
+		1,
+		() => nowMs,
+	)
+	const change = (key: string, modRevision: number) => ({
+		key: KEY_PREFIX + key,
+		data: modRevision,
+		modRevision,
+	})
+	cache.replaceAll(2, [change('read', 1), change('changed', 2)])
+	nowMs = 2000
+	cache.applyEvents(4, [change('changed', 3), change('watched', 4)])
+	nowMs = 3000
+	cache.applyOwnWrite('written', 5, 5)
+	cache.applyEvents(5, [change('written', 5)])
+	const arrivals = ['read', 'changed', 'watched', 'written'].map((key) => cache.get(key)?.arrivedAt)
+	assert.deepEqual(arrivals, [undefined, 2000, 2000, 3000])
+})
