Rent one more machine for a job that has waited longer than machines of unknown age may take to boot

Cause, by trace: 3% of the simulated rentals never boot.

Nothing on record tells the age of a boot to a controller that started after it. The age of a job does outlive owners: where a waiting job depends on such boots alone, and is older than it takes to return that many machines that never come up, one more is rented. Owners that follow each other rapidly so rent no more than one owner would. Nothing changes for a shard that has a machine that is up, or rented under its present owner or in its controller's time.

The table test fails without.

--- a/packages/controller/src/scale-out-plan.ts
+++ b/packages/controller/src/scale-out-plan.ts
@@ -122,7 +122,7 @@
 		this.addDemand({ job, tasks, runS, isForced: !isReachable })
 	}
 
-	/** Wants one machine for a trial of a quarantined job. */
+	/** Wants one machine for a trial: of a quarantined job, or of one whose machines may never boot. */
 	addTrial(job: JobRun): void {
 		this.addDemand({ job, tasks: 1, runS: this.state.estimatedRunS(job.spec), isForced: true })
 	}
--- a/packages/controller/src/scale-out.ts
+++ b/packages/controller/src/scale-out.ts
@@ -2,6 +2,7 @@
 import type { MachineGroupRecord } from '@heathroad/cluster'
 import { fits, type InstanceOffer, isAllowedOn, isZoneAllowed, offerCost } from '@heathroad/policy'
 import type { JobSpec } from '@heathroad/wire'
+import type { InheritedBoots } from './inherited-boots.js'
 import type { MachineGroupWriter } from './machine-group-writer.js'
 import type { JobRun } from './model.js'
 import { RentalExecutor } from './rental-executor.js'
@@ -29,6 +30,7 @@
 	constructor(
 		private readonly state: ShardState,
 		machineGroups: MachineGroupWriter,
+		private readonly inheritedBoots: InheritedBoots,
 	) {
 		this.rentals = new RentalExecutor(state, machineGroups)
 	}
@@ -84,12 +86,17 @@
 		const plan = new ScaleOutPlan(this.state, spareByOffer, pending, this.maxMachinesPerRental())
 		for (const job of this.state.waitingHealthyJobs(now)) plan.addJob(job)
 		for (const job of this.state.waitingJobs(now)) {
-			const mayTry = job.isQuarantined && pending.size === 0 && plan.isEmpty
-			if (mayTry && !this.hasUntriedMachine(job)) plan.addTrial(job)
+			if (pending.size > 0 || !plan.isEmpty) break
+			if (this.needsTrial(job, now)) plan.addTrial(job)
 		}
 		return plan
 	}
 
+	/** Does the job need one more machine, though there are machines that would seem to do for it? */
+	private needsTrial(job: JobRun, now: number): boolean {
+		return job.isQuarantined ? !this.hasUntriedMachine(job) : this.inheritedBoots.mayHaveFailed(job, now)
+	}
+
 	/** Machines that one machine group, and so one rental, can hold. */
 	private maxMachinesPerRental(): number {
 		const valueBytes = this.state.config.settings.deployment.state.value_kb * 1024
--- a/packages/controller/src/shard.ts
+++ b/packages/controller/src/shard.ts
@@ -13,6 +13,7 @@
 import { FailureDetector } from './failure-detector.js'
 import { HeartbeatHandler, type RespondToHeartbeat } from './heartbeat-handler.js'
 import { HeartbeatReconciler } from './heartbeat-reconciler.js'
+import { InheritedBoots } from './inherited-boots.js'
 import { JobLifecycle } from './job-lifecycle.js'
 import { JobMigrator } from './job-migrator.js'
 import type { JobRun } from './job-run.js'
@@ -44,6 +45,7 @@
  */
 export class Shard {
 	private readonly state: ShardState
+	private readonly inheritedBoots: InheritedBoots
 	private readonly scaleOut: ScaleOut
 	private readonly scheduler: Scheduler
 	private readonly progress: ProgressWriter
@@ -71,7 +73,8 @@
 		const state = new ShardState(shardId, fencingToken, config, ports)
 		this.state = state
 		const machineGroups = new MachineGroupWriter(state)
-		this.scaleOut = new ScaleOut(state, machineGroups)
+		this.inheritedBoots = new InheritedBoots(state)
+		this.scaleOut = new ScaleOut(state, machineGroups, this.inheritedBoots)
 		const scheduler = new Scheduler(state, this.scaleOut)
 		this.scheduler = scheduler
 		this.progress = new ProgressWriter(state)
@@ -133,7 +136,10 @@
 			if (record?.shardId !== this.shardId) continue
 			const name = key.slice(MACHINE_GROUP_PREFIX.length)
 			if (record.requestedCount > 0) openRentals.push([name, record])
-			for (const id of Object.keys(record.addresses)) this.state.addMachine(id, name, record, entry.arrivedAt)
+			for (const id of Object.keys(record.addresses)) {
+				const machine = this.state.addMachine(id, name, record, entry.arrivedAt)
+				if (!machine.booted && entry.arrivedAt === undefined) this.inheritedBoots.add(machine)
+			}
 		}
 		return openRentals
 	}
--- a/packages/controller/src/spare-capacity.ts
+++ b/packages/controller/src/spare-capacity.ts
@@ -20,7 +20,7 @@
 }
 
 /** Can waiting work count on this machine? */
-const isUsable = (state: ShardState, machine: Machine, now: number): boolean => {
+export const isUsable = (state: ShardState, machine: Machine, now: number): boolean => {
 	if (machine.drainReason !== null || machine.releasing) return false
 	if (!machine.booted) return now - machine.discoveredAt <= state.bootTimes.giveUpAfterMs(machine.type)
 	// Without heartbeats for a lease: its tasks wait again, and it may be long before it takes new ones.
--- a/tests/inherited-boots.test.ts
+++ b/tests/inherited-boots.test.ts
@@ -65,3 +65,18 @@
 	for (const { name, knownForS, ...expected } of cases)
 		assert.deepEqual(takeOver({ addresses: booting(1), jobAgeS: KEPT_S * 9, knownForS }), expected, name)
 })
+
+test('a job that waits for longer than boots of unknown age may take asks for one more machine', () => {
+	type Case = [name: string, addresses: Addresses, jobAgeS: number, rented: number[]]
+	const cases: Case[] = [
+		['the machines may still come', booting(10), KEPT_S - 3, []],
+		['the only one takes too long', booting(1), KEPT_S + 1, [1]],
+		['two could have failed one after the other', booting(2), KEPT_S * 2 + 1, [1]],
+		['the second may still come', booting(2), KEPT_S * 2 - 3, []],
+		['one of them is up', { ...booting(1), 'i-9': 'i-9:1' }, KEPT_S * 9, []],
+	]
+	for (const [name, addresses, jobAgeS, rented] of cases) {
+		const outcome = takeOver({ addresses, jobAgeS, knownForS: null })
+		assert.deepEqual(outcome, { rented, released: [] }, name)
+	}
+})
