Do not report a page's first move down as wrong while its states are on both levels

Cause: a state is written below before the page above is emptied and says that it handed something down; in between, which the design allows for any time, look-ups find the state in the page above. The checker took the missing mark alone for the proof. Now a state that the page above still holds is no finding there; one that it does not hold is, and one that contradicts it still is (the second walk compares them). Rows for the three cases in inspect; no row or check was changed.

--- a/packages/inspect/src/archive-checker.ts
+++ b/packages/inspect/src/archive-checker.ts
@@ -6,6 +6,7 @@
 	type ArchivePage,
 	covers,
 	decodeArchivePage,
+	findInPacked,
 	jobIdOf,
 	maxDepth,
 	ORDINAL_END,
@@ -21,6 +22,13 @@
 /** The level that an archive key belongs to. */
 export const levelOfKey = (key: string): number => Number(key.slice(ARCHIVE_PREFIX.length).split('/')[0])
 
+/**
+ * Does the page hold the job's state? A page that is handed down for the first time says so only once its states are
+ * written below: a move that stopped in between leaves them on both levels, and look-ups find them on the upper one.
+ */
+const holds = ({ packed }: ArchivePage, ordinal: string): boolean =>
+	findInPacked(packed, ordinal) !== undefined
+
 /** Checks pages in the order of their keys: level by level, and by range within a level. */
 export class ArchiveChecker {
 	private level = NO_LEVEL
@@ -83,7 +91,7 @@
 	private checkJob(key: string, page: ArchivePage, job: ArchivedJob): void {
 		const uid = jobIdOf(job.ordinal)
 		if (!covers(page, job.ordinal)) this.report(key, `holds ${uid}, which is not of its range`)
-		if (this.withoutDeeperAbove.some((above) => covers(above, job.ordinal)))
+		if (this.withoutDeeperAbove.some((above) => covers(above, job.ordinal) && !holds(above, job.ordinal)))
 			this.report(key, `holds ${uid}, which nobody looks for here: the record above handed nothing down`)
 		this.terminalStates.add(uid, archivedOccurrence(key, job))
 	}
--- a/tests/inspect.test.ts
+++ b/tests/inspect.test.ts
@@ -167,6 +167,23 @@
 		{ [archivePageKey(2, '~')]: archivePage('', '~', [archivedJob('job-100001')]) },
 		[/job-100001, which nobody looks for/],
 	],
+	[
+		'a state in the middle of the first move down of its page is in two places',
+		{ [archivePageKey(2, '~')]: archivePage('', '~', [archivedJob('job-100000')]) },
+		[],
+	],
+	[
+		'in the middle of the first move down, beside one that no look-up reaches',
+		{
+			[archivePageKey(2, '~')]: archivePage('', '~', [archivedJob('job-100000'), archivedJob('job-100001')]),
+		},
+		[/2\/~: holds job-100001, which nobody looks for/],
+	],
+	[
+		'in the middle of the first move down, with another terminal state',
+		{ [archivePageKey(2, '~')]: archivePage('', '~', [archivedJob('job-100000', { doneCount: 3 })]) },
+		[/2\/~: job-100000 ended another way/],
+	],
 	[
 		'two terminal states of one job',
 		{ [`${KEY_PREFIX}over/1`]: { ...(terminalPage('job-200000') as object), part: 1 } },
