--- a/tests/stepped-controller.ts
+++ b/tests/stepped-controller.ts
@@ -36,7 +36,8 @@
 
 const TASKS = 5
 const SHARD = 0
-const INSTALLATION = 'here'
+/** Its id, which signs cursors. */
+export const INSTALLATION = 'here'
 /** Each look at a controller's clock finds it so much later: no read waits for its turn. */
 const STEP_MS = 1000
 /** More keys than one page of a full read holds; they come before the jobs' keys. */
@@ -251,17 +252,23 @@
 export class Stream {
 	/** ids of the jobs whose terminal state was told */
 	readonly terminalJobs: string[] = []
+	/** where a reader resumes that trusts cursors: that of the latest event, before the first one that of the headers */
+	cursor: string
 
 	constructor(
 		readonly subscription: Subscription,
 		/** at most one: why the stream ended before it told everything */
 		readonly ends: readonly StreamEndReason[],
-	) {}
+	) {
+		this.cursor = subscription.cursor()
+	}
 
 	/** Takes what is there, at most so many events. */
 	take(atMost?: number): this {
-		for (const { uid, state } of takeEvents(this.subscription, atMost))
+		for (const { uid, state, cursor } of takeEvents(this.subscription, atMost)) {
+			this.cursor = cursor
 			if (state === 'done' || state === 'cancelled') this.terminalJobs.push(uid)
+		}
 		return this
 	}
 }
