--- a/packages/client/src/job-watcher.ts
+++ b/packages/client/src/job-watcher.ts
@@ -12,6 +12,7 @@
 	type Selection,
 	type StreamEnd,
 	type Transport,
+	type WatchRequest,
 } from './transport.js'
 import type { TransportPool } from './transport-pool.js'
 
@@ -41,7 +42,7 @@
 interface WatchProgress {
 	/** names the watch in the logs of controllers */
 	readonly watchId: string
-	/** where the next stream resumes if it resumes at a cursor; empty: it begins with the present state */
+	/** the latest cursor for the whole selection; empty: there was none yet */
 	cursor: string
 	/**
 	 * Whether streams resume at the cursor: those of a team, and those of a watch that began at a cursor of the caller, who
@@ -49,6 +50,12 @@
 	 * dropped here: a cursor says that every state before it was delivered, and what one server lacks would be lost.
 	 */
 	resumesAtCursor: boolean
+	/**
+	 * Whether streams ask only for the jobs whose terminal event is outstanding, after one broke before it had delivered
+	 * anything new: streams that all break early would otherwise never come to the jobs named last. Cursors of such streams are
+	 * not valid for the whole selection, so their events have the latest one that is.
+	 */
+	asksForOutstanding: boolean
 	/** a stream had to begin anew */
 	hasGap: boolean
 	/** streams that a server began */
@@ -65,6 +72,7 @@
 	watchId: randomUUID(),
 	cursor,
 	resumesAtCursor: 'team' in selection || cursor !== '',
+	asksForOutstanding: false,
 	hasGap: false,
 	begunStreams: 0,
 	rejectedCursors: 0,
@@ -90,12 +98,19 @@
 	isUnreachable: false,
 }
 
-/** The named jobs whose terminal event was not delivered; none where only the caller or the server knows. */
-const outstandingJobs = (selection: Selection, progress: WatchProgress): readonly string[] =>
+/** The named jobs whose terminal event was not delivered; null: only the caller or the server knows. */
+const outstandingJobs = (selection: Selection, progress: WatchProgress): readonly string[] | null =>
 	'team' in selection || progress.resumesAtCursor
-		? []
+		? null
 		: selection.uids.filter((uid) => !progress.terminalJobs.has(uid))
 
+/** What the next stream asks for. */
+const streamRequest = (selection: Selection, progress: WatchProgress): WatchRequest => ({
+	selection: progress.asksForOutstanding ? { uids: outstandingJobs(selection, progress) ?? [] } : selection,
+	cursor: progress.resumesAtCursor ? progress.cursor : '',
+	watchId: progress.watchId,
+})
+
 /** The job that errors of a watch name; empty for a team. */
 const firstJobId = (selection: Selection): string => ('team' in selection ? '' : (selection.uids[0] ?? ''))
 
@@ -138,15 +153,19 @@
 		}
 	}
 
-	/** A stream that was called complete while terminal events are outstanding counts as a failed one. */
+	/**
+	 * A stream that was called complete while terminal events are outstanding counts as a failed one, and a failed one as
+	 * complete if none is.
+	 */
 	private checkedEnd(
 		end: StreamEnd,
 		{ address }: Transport,
 		selection: Selection,
 		progress: WatchProgress,
 	): StreamEnd {
-		const uids = end.kind === 'complete' ? outstandingJobs(selection, progress) : []
-		if (uids.length === 0) {
+		const uids = outstandingJobs(selection, progress)
+		if (uids?.length === 0) return { kind: 'complete' }
+		if (uids === null || end.kind !== 'complete') {
 			progress.earlyEnds = 0
 			return end
 		}
@@ -192,10 +211,9 @@
 		// A stream that breaks before its first event is resumed where it began.
 		const onStart = (cursor: string) => {
 			progress.begunStreams++
-			if (progress.cursor === '') progress.cursor = cursor
+			if (progress.cursor === '' && !progress.asksForOutstanding) progress.cursor = cursor
 		}
-		const cursor = progress.resumesAtCursor ? progress.cursor : ''
-		const request = { selection, cursor, watchId: progress.watchId }
+		const request = streamRequest(selection, progress)
 		const events = transport.watch(request, call.signal, onStart)
 		return this.stream(events, selection, progress)
 	}
@@ -205,19 +223,26 @@
 		selection: Selection,
 		progress: WatchProgress,
 	): AsyncGenerator<JobEvent, StreamEnd> {
+		let repeated = 0
+		let delivered = 0
 		try {
 			for (;;) {
 				const step = await events.next()
-				if (step.done) return step.value
+				if (step.done) {
+					progress.asksForOutstanding ||= repeated > 0 && delivered === 0 && !progress.resumesAtCursor
+					return step.value
+				}
 				const event = step.value
-				progress.cursor = event.cursor
+				if (!progress.asksForOutstanding) progress.cursor = event.cursor
 				progress.rejectedCursors = 0
-				if ('uids' in selection) {
-					// After a restart the present state includes terminal states that were delivered before.
-					if (progress.terminalJobs.has(event.uid)) continue
-					if (isFinal(event.state)) progress.terminalJobs.add(event.uid)
+				// The present state includes terminal states that were delivered before.
+				if ('uids' in selection && progress.terminalJobs.has(event.uid)) {
+					repeated++
+					continue
 				}
-				yield { ...event, afterGap: progress.hasGap }
+				delivered++
+				if ('uids' in selection && isFinal(event.state)) progress.terminalJobs.add(event.uid)
+				yield { ...event, cursor: progress.cursor, afterGap: progress.hasGap }
 			}
 		} finally {
 			await events.return({ kind: 'complete' })
--- a/tests/job-watcher.test.ts
+++ b/tests/job-watcher.test.ts
@@ -103,3 +103,36 @@
 	assert.equal(watchIds[0], watchIds[1])
 	assert.notEqual(watchIds[1], watchIds[2])
 })
+
+/**
+ * A watch by ids begins anew with the present state after each break. If every stream breaks after its first events, it must
+ * come to the jobs named last all the same. The cursors that its caller gets must fit the whole selection.
+ */
+test('a watch by ids comes to all of its jobs though every stream breaks after a few events', async () => {
+	const uids = ['job-000001', 'job-000002', 'job-000003', 'job-000004', 'job-000005']
+	for (const eventsPerStream of [1, 2]) {
+		const asked: string[] = []
+		const transport: Pick<Transport, 'watch'> = {
+			async *watch({ selection }, _signal, onStart) {
+				const selected = 'uids' in selection ? selection.uids : []
+				asked.push(selected.join())
+				await new Promise(setImmediate)
+				onStart(`start of ${selected.length}`)
+				for (const uid of selected.slice(0, eventsPerStream))
+					yield { ...event(uid, 'done'), cursor: `${uid} of ${selected.length}` }
+				return selected.length <= eventsPerStream ? { kind: 'complete' } : LOST
+			},
+		}
+		const pool = { choose: async () => ({ transport, candidateCount: 1 }), advance: () => {} }
+		const watcher = new JobWatcher(pool as unknown as TransportPool, {} as RetryingCaller, 1000, () => 0)
+		const told: string[] = []
+		const cursors = new Set<string>()
+		for await (const { uid, cursor } of watcher.watch({ uids }, {})) {
+			told.push(uid)
+			cursors.add(cursor)
+		}
+		assert.deepEqual(told, uids, `${eventsPerStream} events a stream`)
+		assert.ok(asked.length <= uids.length + 2, `${asked.length} streams`)
+		for (const cursor of cursors) assert.match(cursor, / of 5$/)
+	}
+})
