--- a/tests/crash-each-second.test.ts
+++ b/tests/crash-each-second.test.ts
@@ -1,10 +1,10 @@
 /**
- * Small jobs while a controller crashes about each second (incident 28, "not mended"). Owners of a shard live for a second or
- * two; its machines are up and empty, but none reaches an owner while it lives. The job then migrates to a shard whose
- * machines are being returned, which has to rent one and boot it under owners as short-lived.
+ * Small jobs while a controller crashes about each second (incident 28). Owners of a shard live for a second or two; its
+ * machines are up and empty, but none reached an owner while it lived. The job then migrated to a shard whose machines were
+ * being returned, which had to rent one and boot it under owners as short-lived.
  *
- * On seed 49 a job of a third of a second, accepted at 12.6 s, migrates at 17.0 s from shard 0, whose machines are up,
- * to shard 1, whose three machines are returned from 16.0 s on, and has not run at 75 s.
+ * On seed 49 a job of a third of a second, accepted at 12.6 s, migrated at 17.0 s from shard 0, whose machines were up,
+ * to shard 1, whose three machines were returned from 16.0 s on, and had not run at 75 s.
  */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
