--- a/packages/controller/src/rental-executor.ts
+++ b/packages/controller/src/rental-executor.ts
@@ -81,6 +81,11 @@
 		else if (!this.rentalsByName.has(name)) this.rentRecordedGroup(name, record)
 	}
 
+	/** A machine group of this shard was removed: machines that its rental may still bring have no record, and are adopted. */
+	onGroupRemoved(name: string): void {
+		this.rentalsByName.delete(name)
+	}
+
 	private toPendingRental(record: MachineGroupRecord): PendingRental {
 		const type = this.state.machineTypeNamed(record.machineType)
 		return { offer: { type, zone: record.zone, spot: record.spot }, count: record.requestedCount }
@@ -111,7 +116,8 @@
 	private onRentalAnswered(name: string, record: MachineGroupRecord, result: RentResult): void {
 		if (this.state.stopped) return
 		if (result.kind === 'again') {
-			this.rentRecordedGroup(name, record)
+			// A rental that is not pending any more was answered otherwise, or its record was removed.
+			if (this.rentalsByName.has(name)) this.rentRecordedGroup(name, record)
 			return
 		}
 		const machineIds = result.kind === 'rented' ? result.machineIds : []
--- a/packages/controller/src/scale-out.ts
+++ b/packages/controller/src/scale-out.ts
@@ -80,6 +80,11 @@
 		this.rentals.onGroupRecorded(name, record)
 	}
 
+	/** A machine group of this shard was removed. */
+	onGroupRemoved(name: string): void {
+		this.rentals.onGroupRemoved(name)
+	}
+
 	private plan(now: number): ScaleOutPlan {
 		const { pending } = this.rentals
 		const spareByOffer = computeSpareCapacity(this.state, pending.values(), now)
--- a/packages/controller/src/shard.ts
+++ b/packages/controller/src/shard.ts
@@ -178,6 +178,7 @@
 			this.takeRecordedMachines(name, record)
 		}
 		if (previous === null || previous.shardId !== this.shardId) return
+		if (!belongsHere) this.scaleOut.onGroupRemoved(name)
 		for (const id of Object.keys(previous.addresses)) {
 			const machine = this.machines.get(id)
 			if (machine === undefined || machine.groupName !== name) continue
