--- /dev/null
+++ b/tests/simulated-watch.ts
@@ -0,0 +1,235 @@
+/**
+ * Watches of the client library at the controllers of a simulation, in virtual time: the real watcher with its retries, and
+ * the real hubs and subscriptions, with links in between that are cut or lose what a controller sends.
+ */
+import timers from 'node:timers/promises'
+import type { JobEvent as ServerEvent, Subscription } from '@heathroad/events'
+import { type ControllerStreams, type Simulation, streamsOf } from '@heathroad/testkit'
+import { type JobWatcher, JobWatcher as Watcher } from '../packages/client/src/job-watcher.js'
+import type { RetryingCaller } from '../packages/client/src/retrying-caller.js'
+import type {
+	JobEvent,
+	RetryableFailure,
+	StreamEnd,
+	Transport,
+	WatchRequest,
+} from '../packages/client/src/transport.js'
+import type { TransportPool } from '../packages/client/src/transport-pool.js'
+
+/** How long a message takes over a link, in ms. */
+const LATENCY_MS = { from: 1, to: 5 }
+/** When a reader comes back to a controller that does not serve yet, in ms. */
+const NOT_READY_RETRY_MS = 1000
+
+const failure = (text: string, how: Partial<RetryableFailure> = {}): RetryableFailure => ({
+	kind: 'retryable',
+	text,
+	retryAfterMs: null,
+	mayBeAccepted: true,
+	isUnreachable: false,
+	...how,
+})
+const UNREACHABLE = failure('no connection', { isUnreachable: true })
+const CONNECTION_LOST = failure('the connection broke', { isConnectionLost: true })
+const NOT_READY = failure('this controller cannot tell now', { retryAfterMs: NOT_READY_RETRY_MS })
+const NOT_SERVING = failure('this controller cannot tell any more', { retryAfterMs: 100 })
+
+/** A connection of one stream. */
+class Connection {
+	isBroken = false
+	private wake = () => {}
+
+	break(): void {
+		this.isBroken = true
+		this.notify()
+	}
+
+	notify(): void {
+		this.wake()
+	}
+
+	/** Is over at the next call of `notify`. */
+	nextNotice(): Promise<void> {
+		return new Promise((done) => {
+			this.wake = done
+		})
+	}
+}
+
+/** The way of readers to one controller. */
+export class ReaderLink implements Pick<Transport, 'address' | 'watch'> {
+	readonly address: string
+	/** nothing that the controller sends arrives; the connection breaks instead */
+	losesAnswers = false
+	private readonly connections = new Set<Connection>()
+
+	constructor(
+		private readonly simulation: Simulation,
+		private readonly streams: readonly (ControllerStreams | null)[],
+		private readonly controller: number,
+	) {
+		this.address = `ctl-${controller}`
+	}
+
+	/** Breaks all connections. */
+	cutAll(): void {
+		for (const connection of this.connections) connection.break()
+	}
+
+	async *watch(
+		request: WatchRequest,
+		signal: AbortSignal,
+		onStart: (cursor: string) => void,
+	): AsyncGenerator<JobEvent, StreamEnd> {
+		const server = this.streams[this.controller] ?? null
+		if (server === null || server.ended) return UNREACHABLE
+		const connection = new Connection()
+		this.connections.add(connection)
+		const abort = () => connection.break()
+		signal.addEventListener('abort', abort, { once: true })
+		try {
+			return yield* this.stream(server, connection, request, onStart)
+		} finally {
+			signal.removeEventListener('abort', abort)
+			this.connections.delete(connection)
+		}
+	}
+
+	private async *stream(
+		server: ControllerStreams,
+		connection: Connection,
+		request: WatchRequest,
+		onStart: (cursor: string) => void,
+	): AsyncGenerator<JobEvent, StreamEnd> {
+		const subscription = await this.subscribe(server, connection, request)
+		if ('kind' in subscription) return subscription
+		try {
+			if (!(await this.arrives(connection))) return CONNECTION_LOST
+			onStart(request.cursor === '' ? subscription.cursor() : request.cursor)
+			return yield* this.events(subscription, connection)
+		} finally {
+			subscription.end(null)
+		}
+	}
+
+	private async *events(
+		subscription: Subscription,
+		connection: Connection,
+	): AsyncGenerator<JobEvent, StreamEnd> {
+		for (;;) {
+			if (connection.isBroken) return CONNECTION_LOST
+			const notice = connection.nextNotice()
+			const event: ServerEvent | null = subscription.next()
+			const isComplete = event === null && subscription.endReason === null && subscription.isComplete
+			if (event === null && !isComplete) {
+				if (subscription.endReason === 'too far behind') return { kind: 'restart', text: 'out of range' }
+				if (subscription.endReason !== null) return NOT_SERVING
+				await notice
+				continue
+			}
+			if (!(await this.arrives(connection))) return CONNECTION_LOST
+			if (event === null) return { kind: 'complete' }
+			yield { ...event, afterGap: false }
+		}
+	}
+
+	/** The order of a Watch call at a controller: a linearizable read, what is outside memory, the subscription. */
+	private async subscribe(
+		server: ControllerStreams,
+		connection: Connection,
+		{ selection, cursor }: WatchRequest,
+	): Promise<Subscription | StreamEnd> {
+		if (server.hub === null || !server.node.isHealthy()) return NOT_READY
+		const prepared = new Promise<Subscription | StreamEnd>((done) => {
+			server.node.afterLinearizableRead((isFresh) => {
+				if (!isFresh) return done(NOT_READY)
+				server.records.prepare(selection, (isComplete) => {
+					if (!isComplete || server.hub === null || !server.node.isHealthy()) return done(NOT_READY)
+					const opened = server.hub.subscribe(selection, cursor, {
+						onEventsAvailable: () => connection.notify(),
+						onEnd: () => connection.notify(),
+					})
+					done(typeof opened === 'string' ? { kind: 'restart', text: opened } : opened)
+				})
+			})
+		})
+		const opened = await Promise.race([prepared, this.broken(connection)])
+		if (opened !== null) return opened
+		// The controller subscribes all the same, and learns later that nobody listens.
+		void prepared.then((late) => ('kind' in late ? undefined : late.end(null)))
+		return CONNECTION_LOST
+	}
+
+	private async broken(connection: Connection): Promise<null> {
+		while (!connection.isBroken) await connection.nextNotice()
+		return null
+	}
+
+	/** Tells whether a message that the controller sends now reaches the reader. */
+	private async arrives(connection: Connection): Promise<boolean> {
+		const { clock } = this.simulation
+		if (this.losesAnswers) connection.break()
+		await new Promise<void>((done) => {
+			clock.after(clock.between(LATENCY_MS.from, LATENCY_MS.to), done, null)
+		})
+		return !connection.isBroken
+	}
+}
+
+/** The links to all controllers of a simulation; a crash breaks the connections of its controller. */
+export const linksTo = (simulation: Simulation, controllers: number): readonly ReaderLink[] => {
+	const streams = streamsOf(simulation)
+	const links = Array.from(
+		{ length: controllers },
+		(_, controller) => new ReaderLink(simulation, streams, controller),
+	)
+	const onEnded = simulation.ended
+	simulation.ended = (controller) => {
+		onEnded(controller)
+		links[controller].cutAll()
+	}
+	return links
+}
+
+/** A watcher of the client library; its first address is drawn. */
+export const watcherOver = (simulation: Simulation, links: readonly ReaderLink[]): JobWatcher => {
+	const random = () => simulation.clock.random()
+	let next = Math.floor(random() * links.length)
+	const pool = {
+		choose: async () => ({ transport: links[next % links.length], candidateCount: links.length }),
+		advance: () => {
+			next++
+		},
+	} as unknown as TransportPool
+	return new Watcher(pool, {} as RetryingCaller, 0, random)
+}
+
+/**
+ * Plays a day while the waits of the client library, which are promises, pass in virtual time too. `schedule` is called as
+ * the first controller starts.
+ */
+export const playWithClients = async (simulation: Simulation, schedule: () => void): Promise<void> => {
+	const onStarted = simulation.started
+	simulation.started = (controller, node) => {
+		simulation.started = onStarted
+		schedule()
+		onStarted(controller, node)
+	}
+	const realSleep = timers.setTimeout
+	const virtualSleep = (ms: number, value: unknown, { signal }: { signal?: AbortSignal } = {}) =>
+		new Promise((done, fail) => {
+			const abort = () => fail(signal?.reason)
+			signal?.addEventListener('abort', abort, { once: true })
+			const wake = () => {
+				signal?.removeEventListener('abort', abort)
+				done(value)
+			}
+			simulation.clock.after(ms, wake, null)
+		})
+	Object.assign(timers, { setTimeout: virtualSleep })
+	try {
+		await simulation.play()
+	} finally {
+		Object.assign(timers, { setTimeout: realSleep })
+	}
+}
