--- a/packages/client/src/grpc.ts
+++ b/packages/client/src/grpc.ts
@@ -53,7 +53,8 @@
 	return text !== undefined && Number.isFinite(ms) && ms >= 0 ? ms : null
 }
 
-const toFailure = ({ code, details, metadata }: ServiceError): Rejection | RetryableFailure => {
+/** What a failed call or stream is for the client. */
+export const toFailure = ({ code, details, metadata }: ServiceError): Rejection | RetryableFailure => {
 	const text = `${status[code]}: ${details}`
 	const reason = REJECTION_BY_CODE.get(code)
 	if (reason !== undefined) return { kind: 'rejected', reason, text }
@@ -63,7 +64,8 @@
 	const isRefused = code === status.RESOURCE_EXHAUSTED && retryAfterMs !== null
 	const isUnimplemented = code === status.UNIMPLEMENTED
 	// A controller that refuses to serve says when to come back.
-	const isConnectionLost = code === status.UNAVAILABLE && !isUnreachable && retryAfterMs === null
+	const isNotServing = code === status.UNAVAILABLE && retryAfterMs !== null
+	const isConnectionLost = code === status.UNAVAILABLE && !isUnreachable && !isNotServing
 	return {
 		kind: 'retryable',
 		text,
@@ -71,6 +73,7 @@
 		mayBeAccepted: !isUnreachable && !isRefused && !isUnimplemented,
 		isUnreachable,
 		isConnectionLost,
+		isNotServing,
 		lacksGrpc: isUnimplemented || isUnreachable,
 	}
 }
--- a/packages/client/src/http.ts
+++ b/packages/client/src/http.ts
@@ -13,6 +13,8 @@
 const JOBS_PATH = '/v2/runs'
 /** Connections of one address. */
 const MAX_CONNECTIONS = 8
+const TOO_MANY_REQUESTS = 429
+const SERVICE_UNAVAILABLE = 503
 const REJECTION_BY_STATUS: Readonly<Record<number, RejectionReason>> = {
 	400: 'malformed',
 	404: 'unknown job',
@@ -24,7 +26,8 @@
 	return `${status}${error}`
 }
 
-const toOutcome = (response: HttpResponse): Outcome => {
+/** What a response is for the client. */
+export const toOutcome = (response: HttpResponse): Outcome => {
 	const { status, body, retryAfterS: retryAfter } = response
 	if ((status === 200 || status === 201) && isMap(body) && typeof body.uid === 'string') {
 		const job = {
@@ -43,8 +46,9 @@
 		retryAfterMs: retryAfter === null ? null : retryAfter * 1000,
 		// 429 is refused before anything is done. Any other answer may come from a controller that stopped waiting for its
 		// write, which may still be carried out.
-		mayBeAccepted: status !== 429,
+		mayBeAccepted: status !== TOO_MANY_REQUESTS,
 		isUnreachable: false,
+		isNotServing: status === SERVICE_UNAVAILABLE,
 	}
 }
 
--- a/packages/client/src/retry.ts
+++ b/packages/client/src/retry.ts
@@ -5,8 +5,8 @@
 const FIRST_DELAY_MS = 200
 /** The longest delay that the client chooses itself, in ms; the service may ask for a longer one. */
 const MAX_DELAY_MS = 10_000
-/** The longest delay before a try to reconnect, in ms: nobody was there to be overloaded. */
-const MAX_RECONNECT_DELAY_MS = 2_000
+/** The longest delay after a try that nobody was there to serve, in ms: there is no overload that a longer one would ease. */
+const MAX_UNSERVED_DELAY_MS = 2_000
 /** Keeps the doubled delay a number that can be represented. */
 const MAX_DOUBLINGS = 16
 /** Share of the first delay before the next address, if nobody was reached at this one. */
@@ -28,6 +28,10 @@
 	random: () => number
 }
 
+/** Whether the try failed because no controller served at its address, and not for overload. */
+const wasUnserved = ({ isUnreachable, isConnectionLost, isNotServing }: RetryableFailure): boolean =>
+	isUnreachable || isConnectionLost === true || isNotServing === true
+
 /**
  * The delay before the next try, in ms. It doubles and has jitter, so that clients which lost the same controller at one
  * moment do not reconnect together. A delay that the service asked for is the least, with up to a quarter more.
@@ -38,8 +42,7 @@
 	if (hasUntriedAddress) return FIRST_DELAY_MS * NEXT_ADDRESS_SHARE * random()
 	const rounds = failure.isUnreachable ? Math.floor(tries / addressCount) : tries
 	const doublings = Math.min(MAX_DOUBLINGS, Math.max(0, rounds - 1))
-	const isDisconnected = failure.isUnreachable || failure.isConnectionLost === true
-	const maxDelayMs = isDisconnected ? MAX_RECONNECT_DELAY_MS : MAX_DELAY_MS
+	const maxDelayMs = wasUnserved(failure) ? MAX_UNSERVED_DELAY_MS : MAX_DELAY_MS
 	const backoffMs = Math.min(maxDelayMs, FIRST_DELAY_MS * 2 ** doublings)
 	const delayMs = backoffMs * (MIN_JITTER + random() * (1 - MIN_JITTER))
 	if (failure.retryAfterMs === null) return delayMs
--- a/tests/client.test.ts
+++ b/tests/client.test.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from 'node:net'
 import { join } from 'node:path'
 import { test } from 'node:test'
+import { Metadata, status } from '@grpc/grpc-js'
 import {
 	Client,
 	DeadlineOver,
@@ -19,6 +20,8 @@
 import { isMap, JOB_ID_PATTERN } from '@heathroad/wire'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { toFailure } from '../packages/client/src/grpc.js'
+import { toOutcome } from '../packages/client/src/http.js'
 import { hasTimeForRetry, retryDelayMs } from '../packages/client/src/retry.js'
 
 const limits = { idleTimeoutMs: 5000, requestTimeoutMs: 5000, maxSockets: 2000 }
@@ -161,6 +164,23 @@
 		['no connection for long: a bounded delay', 30, { isUnreachable: true }, 3, 1000, 2000],
 		['a lost connection: it doubles', 4, { isConnectionLost: true }, 3, 800, 1600],
 		['a connection lost again and again: a bounded delay', 30, { isConnectionLost: true }, 3, 1000, 2000],
+		[
+			'controllers that cannot serve again and again: a bounded delay',
+			30,
+			{ isNotServing: true, retryAfterMs: 1000 },
+			3,
+			1000,
+			2000,
+		],
+		[
+			'a controller that cannot serve asks for a longer delay',
+			30,
+			{ isNotServing: true, retryAfterMs: 4000 },
+			3,
+			4000,
+			5000,
+		],
+		['overload again and again: up to the long bound', 30, { retryAfterMs: 1000 }, 3, 5000, 10_000],
 	]
 	for (const [name, tries, changes, addressCount, min, max] of cases) {
 		const [low, high] = range(tries, changes, addressCount)
@@ -169,6 +189,41 @@
 	assert.equal(hasTimeForRetry(0, 500, 400), false, 'a try after the deadline is not begun')
 })
 
+/** Guards against readers that stay away longer and longer from controllers that only just started (incident 36). */
+test('a refusal of a controller that cannot serve is told from overload and from a lost connection', () => {
+	const grpcError = (code: status, details: string, retryAfterMs?: number) => {
+		const metadata = new Metadata()
+		if (retryAfterMs !== undefined) metadata.set('retry-after-ms', String(retryAfterMs))
+		return Object.assign(new Error(details), { code, details, metadata })
+	}
+	const response = (code: number, retryAfterS: number) => ({ status: code, body: {}, retryAfterS })
+	const NONE = { isUnreachable: false, isConnectionLost: false, isNotServing: false }
+	const cases: [name: string, failure: object, expected: Partial<typeof NONE>][] = [
+		[
+			'gRPC, a controller that started',
+			toFailure(grpcError(status.UNAVAILABLE, 'this controller cannot tell now', 1000)),
+			{ isNotServing: true },
+		],
+		[
+			'gRPC, a lost connection',
+			toFailure(grpcError(status.UNAVAILABLE, 'Connection dropped')),
+			{ isConnectionLost: true },
+		],
+		[
+			'gRPC, no connection',
+			toFailure(grpcError(status.UNAVAILABLE, 'No connection established')),
+			{ isUnreachable: true },
+		],
+		['gRPC, too many streams', toFailure(grpcError(status.RESOURCE_EXHAUSTED, 'too many', 1000)), {}],
+		['HTTP, a controller that started', toOutcome(response(503, 1)), { isNotServing: true }],
+		['HTTP, too many requests', toOutcome(response(429, 1)), {}],
+	]
+	for (const [name, failure, expected] of cases) {
+		const { isUnreachable, isConnectionLost, isNotServing } = { ...NONE, ...failure }
+		assert.deepEqual({ isUnreachable, isConnectionLost, isNotServing }, { ...NONE, ...expected }, name)
+	}
+})
+
 test('the example of the manual runs as written', async () => {
 	const page = readFileSync('docs/client.md', 'utf8')
 	const code = /```ts\n([\s\S]*?)```/.exec(page)?.[1]
--- a/tests/simulated-watch.ts
+++ b/tests/simulated-watch.ts
@@ -31,8 +31,11 @@
 })
 const UNREACHABLE = failure('no connection', { isUnreachable: true })
 const CONNECTION_LOST = failure('the connection broke', { isConnectionLost: true })
-const NOT_READY = failure('this controller cannot tell now', { retryAfterMs: NOT_READY_RETRY_MS })
-const NOT_SERVING = failure('this controller cannot tell any more', { retryAfterMs: 100 })
+const NOT_READY = failure('this controller cannot tell now', {
+	retryAfterMs: NOT_READY_RETRY_MS,
+	isNotServing: true,
+})
+const NOT_SERVING = failure('this controller cannot tell any more', { retryAfterMs: 100, isNotServing: true })
 
 /** A connection of one stream. */
 class Connection {
--- a/tests/stream-check-days.ts
+++ b/tests/stream-check-days.ts
@@ -183,13 +183,18 @@
 		const { uids } = this
 		this.begin('by ids, before', { uids })
 		this.begin('by team', { team: 'core' })
-		this.follow('a cursor', this.beginAtCursor('by ids, from a cursor'))
+		const name = 'by ids, from a cursor'
+		this.follow(name, this.readFromCursor(this.addReader(name)))
 	}
 
-	private begin(name: string, selection: Selection, cursor = ''): void {
+	private begin(name: string, selection: Selection): void {
+		this.follow(name, this.read(this.addReader(name), selection, ''))
+	}
+
+	private addReader(name: string): DayReader {
 		const reader = new DayReader(name, this.uids)
 		this.readers.push(reader)
-		this.follow(name, this.read(reader, selection, cursor))
+		return reader
 	}
 
 	private follow(name: string, watch: Promise<void>): void {
@@ -204,12 +209,12 @@
 		}
 	}
 
-	/** Its streams resume at cursors, as those of callers that keep one; the first event of another watch gives it. */
-	private async beginAtCursor(name: string): Promise<void> {
+	/** A caller that keeps the cursor of its first event, and begins another watch there. */
+	private async readFromCursor(reader: DayReader): Promise<void> {
 		const { simulation, links, uids } = this
-		const selection = { uids }
-		for await (const { cursor } of watcherOver(simulation, links).watch(selection, {})) {
-			this.begin(name, selection, cursor)
+		for await (const event of watcherOver(simulation, links).watch({ uids }, {})) {
+			reader.observe(event, simulation.clock.nowMs)
+			await this.read(reader, { uids }, event.cursor)
 			return
 		}
 	}
