--- a/packages/client/src/retry.ts
+++ b/packages/client/src/retry.ts
@@ -5,7 +5,7 @@
 const FIRST_DELAY_MS = 200
 /** The longest delay that the client chooses itself, in ms; the service may ask for a longer one. */
 const MAX_DELAY_MS = 10_000
-/** The longest delay after a try that nobody was there to serve, in ms: there is no overload that a longer one would ease. */
+/** The longest delay after a try that no controller served, in ms; a controller that needs a longer one asks for it. */
 const MAX_UNSERVED_DELAY_MS = 2_000
 /** Keeps the doubled delay a number that can be represented. */
 const MAX_DOUBLINGS = 16
@@ -28,7 +28,7 @@
 	random: () => number
 }
 
-/** Whether the try failed because no controller served at its address, and not for overload. */
+/** Whether the try failed because no controller served it, and not because there are too many calls. */
 const wasUnserved = ({ isUnreachable, isConnectionLost, isNotServing }: RetryableFailure): boolean =>
 	isUnreachable || isConnectionLost === true || isNotServing === true
 
--- a/packages/client/src/transport.ts
+++ b/packages/client/src/transport.ts
@@ -49,7 +49,7 @@
 	isUnreachable: boolean
 	/** the connection broke during the call: the controller may be gone, and is not overloaded for all one knows */
 	isConnectionLost?: boolean
-	/** the controller answered that it cannot serve now: it is not overloaded, and others may serve */
+	/** the controller answered that it cannot serve the call now, and when to come back; others may serve it */
 	isNotServing?: boolean
 	/** there is no gRPC server at this address */
 	lacksGrpc?: boolean
