--- a/tests/job-watcher.test.ts
+++ b/tests/job-watcher.test.ts
@@ -7,7 +7,7 @@
 import { JobWatcher } from '../packages/client/src/job-watcher.js'
 import type { RetryingCaller } from '../packages/client/src/retrying-caller.js'
 import type { JobEvent, StreamEnd, Transport } from '../packages/client/src/transport.js'
-import type { TransportPool } from '../packages/client/src/transport-pool.js'
+import { poolOf } from './fake-transport-pool.js'
 
 const REJECTED: StreamEnd = { kind: 'restart', text: 'what follows it is not kept any more' }
 /** The connection broke, as it does when a controller crashes. */
@@ -44,11 +44,11 @@
 			return end
 		},
 	}
-	const pool = {
-		choose: async () => ({ transport, candidateCount: 1 }),
-		advance: () => {},
-	} as unknown as TransportPool
-	return { cursors, watchIds, watcher: new JobWatcher(pool, {} as RetryingCaller, 1000, () => 0.5) }
+	return {
+		cursors,
+		watchIds,
+		watcher: new JobWatcher(poolOf([transport]), {} as RetryingCaller, 1000, () => 0.5),
+	}
 }
 
 test('a watcher whose cursor is rejected again and again backs off', async () => {
@@ -123,8 +123,7 @@
 				return selected.length <= eventsPerStream ? { kind: 'complete' } : LOST
 			},
 		}
-		const pool = { choose: async () => ({ transport, candidateCount: 1 }), advance: () => {} }
-		const watcher = new JobWatcher(pool as unknown as TransportPool, {} as RetryingCaller, 1000, () => 0)
+		const watcher = new JobWatcher(poolOf([transport]), {} as RetryingCaller, 1000, () => 0)
 		const told: string[] = []
 		const cursors = new Set<string>()
 		for await (const { uid, cursor } of watcher.watch({ uids }, {})) {
--- a/tests/simulated-watch.ts
+++ b/tests/simulated-watch.ts
@@ -5,7 +5,7 @@
 import timers from 'node:timers/promises'
 import type { JobEvent as ServerEvent, Subscription } from '@heathroad/events'
 import { type ControllerStreams, type Simulation, streamsOf } from '@heathroad/testkit'
-import { type JobWatcher, JobWatcher as Watcher } from '../packages/client/src/job-watcher.js'
+import { JobWatcher } from '../packages/client/src/job-watcher.js'
 import type { RetryingCaller } from '../packages/client/src/retrying-caller.js'
 import type {
 	JobEvent,
@@ -14,7 +14,7 @@
 	Transport,
 	WatchRequest,
 } from '../packages/client/src/transport.js'
-import type { TransportPool } from '../packages/client/src/transport-pool.js'
+import { poolOf } from './fake-transport-pool.js'
 
 /** How long a message takes over a link, in ms. */
 const LATENCY_MS = { from: 1, to: 5 }
@@ -197,14 +197,8 @@
 /** A watcher of the client library; its first address is drawn. */
 export const watcherOver = (simulation: Simulation, links: readonly ReaderLink[]): JobWatcher => {
 	const random = () => simulation.clock.random()
-	let next = Math.floor(random() * links.length)
-	const pool = {
-		choose: async () => ({ transport: links[next % links.length], candidateCount: links.length }),
-		advance: () => {
-			next++
-		},
-	} as unknown as TransportPool
-	return new Watcher(pool, {} as RetryingCaller, 0, random)
+	const first = Math.floor(random() * links.length)
+	return new JobWatcher(poolOf(links, first), {} as RetryingCaller, 0, random)
 }
 
 /**
--- a/tests/stream-resumption.test.ts
+++ b/tests/stream-resumption.test.ts
@@ -14,7 +14,7 @@
 import { JobWatcher } from '../packages/client/src/job-watcher.js'
 import type { RetryingCaller } from '../packages/client/src/retrying-caller.js'
 import type { JobEvent, StreamEnd, Transport } from '../packages/client/src/transport.js'
-import type { TransportPool } from '../packages/client/src/transport-pool.js'
+import { poolOf } from './fake-transport-pool.js'
 import { Records, SteppedController, Stream } from './stepped-controller.js'
 import {
 	changePageDuringFullRead,
@@ -82,11 +82,7 @@
 			return end
 		},
 	}
-	const pool = {
-		choose: async () => ({ transport, candidateCount: 1 }),
-		advance: () => {},
-	} as unknown as TransportPool
-	return { cursors, watcher: new JobWatcher(pool, {} as RetryingCaller, 1000, () => 0.5) }
+	return { cursors, watcher: new JobWatcher(poolOf([transport]), {} as RetryingCaller, 1000, () => 0.5) }
 }
 
 const ranFor = async (servers: readonly Server[], maxMs: number) => {
