--- a/tests/stream-check-days.test.ts
+++ b/tests/stream-check-days.test.ts
@@ -1,13 +1,14 @@
 /**
  * The check of streams in virtual time: each seed is a fixed order of cuts, lost answers and crashes. Guards against the
  * missed terminal events where they come at will. On 409dda2 readers by ids miss events on seeds 3, 8, 14, 24 and 47 (all but
- * the many of seed 3 are cancelled jobs, incident 27); on d0cc255 the reader by team on seeds 75 and 81 (incident 36).
+ * the many of seed 3 are cancelled jobs, incident 27); on d0cc255 the reader by team on seeds 75 and 81 (incident 36). On seed
+ * 441 a job is not over within its minute (incident 28, KNOWN-RED.txt).
  */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { JOBS, MAX_MS, playStreamCheckDay } from './stream-check-days.js'
 
-const SEEDS = [3, 8, 14, 24, 47, 75, 81]
+const SEEDS = [3, 8, 14, 24, 47, 75, 81, 441]
 const READERS = 6
 
 for (const seed of SEEDS)
