--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -84,7 +84,10 @@
 		const report = this.report()
 		const size = JSON.stringify(report).length
 		this.reportBytes = size
-		const answer = this.link.out ? await request(node.checkin ?? node.bind, 'POST', '/checkin', report, 4000, this.agent) : await new Promise((done) => setTimeout(() => done(null), 4000))
+		// No request body may exceed 64 KiB: a report that has outgrown this limit cannot be sent.
+		const fits = size <= MAX_BODY
+		if (!fits) this.world.event('report too large', { host: this.id, bytes: size, pieces: report.pieces.length })
+		const answer = !fits ? null : this.link.out ? await request(node.checkin ?? node.bind, 'POST', '/checkin', report, 4000, this.agent) : await new Promise((done) => setTimeout(() => done(null), 4000))
 		this.world.onReport?.(this, node, size, answer, report)
 		this.inFlight = false
 		if (this.stopped) return
