--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -9,7 +9,9 @@
 	fence = 0
 	tasks = new Map()
 	completed = new Set()
-	cached = new Set()
+	/** image -> when it has been fetched */
+	images = new Map()
+	fenceChangedAt = Number.NEGATIVE_INFINITY
 	stopped = false
 	target = 0
 	inFlight = false
@@ -40,6 +42,10 @@
 		this.stopped = true
 		clearInterval(this.timer)
 		for (const task of this.tasks.values()) this.off(task, 'machine gone')
+	}
+	/** A machine that has stopped stays silent: its connections are closed only at the end of the script. */
+	close() {
+		this.stop()
 		this.server?.close()
 		this.agent.destroy()
 	}
@@ -96,8 +102,7 @@
 			if (tenure !== this.tenure || performance.now() - sentAt > 4000) return
 			const fence = Number(received.body?.fence ?? -1)
 			if (fence < this.fence) return
-			if (fence > this.fence) this.changed = true
-			this.fence = fence
+			this.raiseFence(fence)
 			this.leaseFrom = sentAt
 			for (const order of received.body.orders ?? []) this.execute(order, node.name, fence)
 			return
@@ -122,11 +127,19 @@
 		if (path !== '/commands') return reply(404, {})
 		if (body?.fence === undefined || body?.tenure === undefined) return reply(400, {})
 		if (Number(body.fence) < this.fence || Number(body.tenure) !== this.tenure) return reply(409, this.report())
-		if (Number(body.fence) > this.fence) this.changed = true
-		this.fence = Number(body.fence)
+		this.raiseFence(Number(body.fence))
 		for (const order of body.orders ?? []) this.execute(order, 'direct', this.fence)
 		reply(200, this.report())
 	}
+	/** A higher token counts as a change at most once in half of a lease. */
+	raiseFence(fence) {
+		const now = performance.now()
+		if (fence > this.fence && now - this.fenceChangedAt > this.world.workers.lease_s * 500) {
+			this.changed = true
+			this.fenceChangedAt = now
+		}
+		this.fence = fence
+	}
 	/** A direct command that was held up: executed once if token and session still match, not answered. */
 	late(body) {
 		if (Number(body.fence) < this.fence || Number(body.tenure) !== this.tenure) return
@@ -158,13 +171,14 @@
 			ram += other.spec.ramGb
 		}
 		if (cpus > this.type.cpus + 1e-6 || ram > this.type.ramGb + 1e-6) return this.refuse(created, 'no_room')
-		const fetchMs = this.cached.has(spec.bundle) ? 0 : (spec.imageGb / this.type.fetchGbPerS) * 1000
-		created.readyAt = performance.now() + fetchMs
+		// An image is fetched once for all tasks that need it.
+		const fetchedAt = this.images.get(spec.bundle) ?? performance.now() + (spec.imageGb / this.type.fetchGbPerS) * 1000
+		this.images.set(spec.bundle, fetchedAt)
+		created.readyAt = Math.max(fetchedAt, performance.now())
 	}
 	step(task, now) {
 		if (task.status === 'pulling' && now >= task.readyAt) {
 			task.status = 'running'
-			this.cached.add(task.spec.bundle)
 			task.onMachine = true
 			const runMs = this.completed.has(task.piece) ? 0 : this.world.runS(task.spec, task.piece) * 1000
 			task.doneAt = now + runMs
@@ -212,9 +226,11 @@
 	hosts = new Map()
 	count = 0
 	down = false
-	calls = 0
-	constructor(world, types, capacity, bootFactor) {
-		Object.assign(this, { world, types, capacity: new Map(Object.entries(capacity)), bootFactor })
+	/** agents of all machines that were ever up */
+	booted = []
+	/** `boot`: range of the boot time, as factors of the type's `bootS`; the page says usually 0.6 to 1.5 */
+	constructor(world, types, capacity, boot, rps) {
+		Object.assign(this, { world, types, capacity: new Map(Object.entries(capacity)), boot, rps, calls: 2 * rps, refilledAt: performance.now() })
 	}
 	async listen() {
 		this.server = await serve((message, reply) => this.handle(message, reply))
@@ -222,7 +238,7 @@
 	}
 	close() {
 		this.server?.close()
-		for (const host of this.hosts.values()) host.worker?.stop()
+		for (const worker of this.booted) worker.close()
 	}
 	add(type, site, spot, bootMs) {
 		const uid = `i-${String(++this.count).padStart(6, '0')}`
@@ -231,6 +247,7 @@
 		setTimeout(async () => {
 			if (host.gone || this.world.ended) return
 			host.worker = new Worker(this.world, uid, type, site, spot)
+			this.booted.push(host.worker)
 			await host.worker.boot()
 			host.status = 'running'
 			this.world.event('machine up', { host: uid, type: type.label, site, spot })
@@ -259,6 +276,12 @@
 	}
 	handle({ method, path, body }, reply) {
 		if (this.down) return reply(503, { error: 'trouble' })
+		const now = performance.now()
+		// Bursts worth two seconds are allowed.
+		this.calls = Math.min(2 * this.rps, this.calls + ((now - this.refilledAt) * this.rps) / 1000)
+		this.refilledAt = now
+		if (this.calls < 1) return reply(429, { error: 'too many' })
+		this.calls--
 		const answer = (status, data) => setTimeout(() => reply(status, data), 60)
 		if (path === '/catalog') return answer(200, { flavours: this.types })
 		if (path === '/hosts/release') {
@@ -275,7 +298,7 @@
 			const count = Math.min(free, body.howMany, 50)
 			this.capacity.set(offer, free - count)
 			const hosts = Array.from({ length: count }, () =>
-				this.add(type, body.site, body.reclaimable, type.bootS * 1000 * this.bootFactor * (0.6 + Math.random() * 0.9)))
+				this.add(type, body.site, body.reclaimable, type.bootS * 1000 * (this.boot[0] + Math.random() * (this.boot[1] - this.boot[0]))))
 			this.rentals.set(body.rental, hosts)
 			this.world.event('rented', { rental: body.rental, offer, hosts })
 			return answer(200, { hosts })
