--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -203,6 +203,8 @@
 
 	/** Ends all processes, writes the record and exits. */
 	async end() {
+		if (this.ending) return
+		this.ending = true
 		for (const child of this.children.values()) {
 			if (child.exitCode !== null || child.signalCode !== null) continue
 			const ended = new Promise((done) => child.once('exit', done))
@@ -226,6 +228,13 @@
 		world.note('the case took too long')
 		void world.end()
 	}, limitS * 1000)
+	// A case that is told to end also ends what it started.
+	for (const name of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+		process.once(name, () => {
+			world.note('told to end', { signal: name })
+			world.exitCode = 2
+			void world.end()
+		})
 	try {
 		await world.start()
 		const held = await play(world)
