--- a/review/lib-2/net.mjs
+++ b/review/lib-2/net.mjs
@@ -20,19 +20,20 @@
 
 /** Returns free ports of the loopback interface. */
 export const freePorts = async (count) => {
-	const servers = await Promise.all(
-		Array.from(
-			{ length: count },
-			() =>
-				new Promise((done) => {
-					const server = net.createServer()
-					server.listen(0, '127.0.0.1', () => done(server))
-				}),
-		),
-	)
-	const ports = servers.map((server) => server.address().port)
-	await Promise.all(servers.map((server) => new Promise((done) => server.close(done))))
-	return ports
+	const servers = new Map()
+	while (servers.size < count) {
+		// Below the ports that the system gives out by itself, so that no connection takes one before its node listens.
+		const port = 12_000 + Math.floor(Math.random() * 18_000)
+		if (servers.has(port)) continue
+		const server = net.createServer()
+		const isFree = await new Promise((done) => {
+			server.once('error', () => done(false))
+			server.listen(port, '127.0.0.1', () => done(true))
+		})
+		if (isFree) servers.set(port, server)
+	}
+	await Promise.all([...servers.values()].map((server) => new Promise((done) => server.close(done))))
+	return [...servers.keys()]
 }
 
 /** Listens on a free port. `handle` gets {method, path, query, body}; it returns {status, body}, or null for no answer. */
