--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -4,6 +4,8 @@
 const CHANGE_MS = 500
 const ANSWER_MS = 4000
 const RETRY_MS = 1000
+/** No request body may exceed this; sizes are counted in JSON. */
+const MAX_BODY_BYTES = 64 * 1024
 
 /** One machine with its worker. */
 export class Worker {
@@ -90,7 +92,10 @@
 		const now = performance.now()
 		if (now - this.leaseFrom > this.fleet.workers.lease_s * 1000) {
 			for (const task of this.tasks.values()) this.leave(task)
-			if (this.tasks.size > 0) this.fleet.note('lease over', { host: this.id, tasks: this.tasks.size })
+			if (this.tasks.size > 0) {
+				this.fleet.note('lease over', { host: this.id, tasks: this.tasks.size })
+				this.fleet.onLeaseOver(this, this.tasks.size)
+			}
 			this.tasks.clear()
 			this.tenure++
 			this.leaseFrom = now
@@ -114,9 +119,18 @@
 		this.lastSent = sentAt
 		const { tenure } = this
 		const node = this.fleet.nodes[this.node]
+		const report = this.report()
+		const length = Buffer.byteLength(JSON.stringify(report, (_, value) => (typeof value === 'bigint' ? String(value) : value)))
+		if (length > MAX_BODY_BYTES) {
+			// It may not be sent; the worker tries again a second later.
+			this.fleet.onTooLong(this, length, report.pieces.length)
+			this.sending = false
+			this.lastSent = performance.now() + RETRY_MS - this.interval
+			return
+		}
 		const answer = this.cut
 			? await sleep(ANSWER_MS).then(() => null)
-			: await call(node.port, 'POST', '/checkin', this.report(), ANSWER_MS)
+			: await call(node.port, 'POST', '/checkin', report, ANSWER_MS)
 		this.sending = false
 		if (this.gone) return
 		if (answer?.status !== 200 || this.cut) {
@@ -231,6 +245,10 @@
 		this.onStart = () => {}
 		this.onMachine = () => {}
 		this.onDone = () => {}
+		/** a report is longer than a request may be */
+		this.onTooLong = () => {}
+		/** a worker's lease ended with these tasks on it */
+		this.onLeaseOver = () => {}
 	}
 
 	async open(rps) {
