--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -4,7 +4,7 @@
 import { daugava } from '../lib-2/sites.mjs'
 import { runCase } from '../lib-2/world.mjs'
 
-/** The site's state service answers within 2 ms. */
+/** The site's state service usually answers after 4 ms; here it takes about half as long. */
 const USUAL_MS = 2
 /** A slow state service: 15 times slower, and one answer in twenty 25 times slower still (a recorded day). */
 const SLOW_MS = 15 * USUAL_MS
