A late cancellation of a moved job gets no second terminal state

Cause: a cancellation of a job without a key of its own is conditional on the absence of that key, and on the page of the shard that accepted the job. If the job then moves, is done in the other shard, and its own key is deleted as obsolete, all conditions hold again.

The same deletion let a late move follow a cancellation.

Change: a move marks the job's record (`moved`, an optional field that older versions keep and ignore). The own key of a marked job is deleted only when an archival epoch has begun after its terminal state; every transition is conditional on the epoch.

Why it works: within an epoch an absent own key now means that the job has not moved. A job that has not moved has one page, which is a condition already. Own keys of all other jobs are deleted as before.

--- a/packages/cluster/src/job-registry.ts
+++ b/packages/cluster/src/job-registry.ts
@@ -3,6 +3,7 @@
 import type { CancelledJob } from './cancellation-log.js'
 import {
 	ACCEPTED_BATCH_PREFIX,
+	HISTORY_KEY,
 	JOB_PREFIX,
 	jobKey,
 	PROGRESS_PREFIX,
@@ -241,17 +242,26 @@
 
 	/**
 	 * Records without effect: progress of terminal jobs, own records of jobs that are on pages, and batches whose jobs are
-	 * all terminal or have keys of their own.
+	 * all terminal or have keys of their own. The own record of a job that has moved stays until an archival epoch has begun
+	 * after the terminal state: until then a late write could take its absence for that of a job that has not moved
+	 * (`transitionConditions`).
 	 */
 	*obsoleteEntries(): Iterable<[string, CacheEntry]> {
 		for (const [key, entry] of this.cache.withPrefix(PROGRESS_PREFIX))
 			if (!this.openJobs.has(uidOfProgressKey(key))) yield [key, entry]
 		for (const [key, entry] of this.cache.withPrefix(JOB_PREFIX))
-			if (this.terminalJobs.has(uidOfJobKey(key))) yield [key, entry]
+			if (this.isObsoleteOwnRecord(uidOfJobKey(key), entry)) yield [key, entry]
 		for (const [key, entry] of this.cache.withPrefix(ACCEPTED_BATCH_PREFIX))
 			if (this.isObsoleteBatch(entry.data)) yield [key, entry]
 	}
 
+	private isObsoleteOwnRecord(uid: string, entry: CacheEntry): boolean {
+		const onPage = this.terminalJobs.get(uid)
+		if (onPage === undefined) return false
+		const hasMoved = decodeJobRecord(entry.data)?.moved === true
+		return !hasMoved || onPage.revision < this.cache.modRevision(HISTORY_KEY)
+	}
+
 	/** Whether all jobs of a batch are terminal or have keys of their own. */
 	isObsoleteBatch(data: unknown): boolean {
 		return (decodeAcceptedBatch(data) ?? []).every(({ spec }) => !this.accepted.has(spec.uid))
--- a/packages/cluster/src/job-transitions.ts
+++ b/packages/cluster/src/job-transitions.ts
@@ -39,7 +39,9 @@
  *   made with knowledge of the terminal state, or fails.
  * - Each job's own key has the mod revision of the record that assigned the job to this shard. A move changes the own key, so
  *   a transition in the shard that a job has left fails.
- * - The archival epoch has not ended. Within one epoch no terminal state leaves the pages.
+ * - The archival epoch has not ended. Within one epoch no terminal state leaves the pages, and the own key of a job that has
+ *   moved is not deleted: an own key that is absent, as it was when the writer read the job's record, means that the job has
+ *   not moved since.
  *
  * @param shardId the shard to which the records assign the jobs
  * @param jobs `modRevision`: of the job's own key, when the record was read that assigns it to the shard
@@ -62,7 +64,9 @@
 	{ record, modRevision }: KnownJob,
 	shardId: number,
 ): TransactionContent => {
-	const moved: JobRecord = { ...record, shardId }
+	// In the first record format own keys are not deleted, so that the mark is not needed.
+	const mark = records.get(HISTORY_KEY) === undefined ? {} : { moved: true as const }
+	const moved: JobRecord = { ...record, shardId, ...mark }
 	return {
 		conditions: [ownership, ...transitionConditions(records, record.shardId, [{ uid, modRevision }])],
 		mutations: putJobRecord(records, uid, modRevision, moved).mutations,
@@ -111,6 +115,7 @@
 		taskCount: job.taskCount,
 		resources: job.resources,
 		doneCount: job.doneCount,
+		...(known.record.moved === undefined ? {} : { moved: known.record.moved }),
 	}
 	const ownKey = putJobRecord(records, job.uid, known.modRevision, cancelled)
 	if (records.get(HISTORY_KEY) === undefined) return ownKey
@@ -121,7 +126,7 @@
 /**
  * Moves terminal states from keys of their own, as in the first format, to a page. Those keys were written before the first
  * archival epoch, so deleting them cannot make a write of a later epoch take them for keys that never existed.
- * @param jobs `modRevision`: of the own key that holds the state
+ * @param jobs must not be on a page already; `modRevision`: of the own key that holds the state
  */
 export const migrateTerminalRecords = (
 	records: RecordReader,
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -35,6 +35,8 @@
 	doneRanges?: number[]
 	/** Admission checks that must release the job before its first start; fixed at its acceptance. */
 	requiredChecks?: readonly string[]
+	/** The job has moved between shards: its own key outlives its terminal state until a new archival epoch begins. */
+	moved?: true
 	finalState?: 'done' | 'aborted'
 	taskCount?: number
 	doneCount?: number
--- a/packages/cluster/src/transactions.ts
+++ b/packages/cluster/src/transactions.ts
@@ -32,8 +32,9 @@
 
 /**
  * Condition of every write of a job's record or terminal state: the archival epoch in which the write was made has not
- * ended. A terminal state is dropped from memory only when an epoch began after it, so a write for its job either was made
- * with knowledge of the state, or fails, however late it arrives.
+ * ended. A terminal state is dropped from memory, and the own key of a job that has moved is deleted, only when an epoch
+ * began after the state, so a write for its job either was made with knowledge of the state, or fails, however late it
+ * arrives.
  */
 export const archivalEpochCondition = (records: RecordReader): Condition => unchanged(records, HISTORY_KEY)
 
--- a/tests/golden-days.test.ts
+++ b/tests/golden-days.test.ts
@@ -18,7 +18,8 @@
  * The day "archived" with the current code. Issue 32 changed its course from e499f66: after a takeover, machines are kept
  * while a job waits for them, the removal of a machine is written sooner, and lookups precede some acceptances. Issue 39
  * changed it from 575715b: a job lookup may read the records once more, and waiting jobs stay beside machines that look
- * up their owner. Issue 56 changed it from 84b59ae: every write of a terminal state has more conditions. The fixtures of all three versions are kept: their formats are still read and written
+ * up their owner. Issue 56 changed it from 84b59ae: every write of a terminal state has more conditions, and the record of
+ * a job that has moved says so. The fixtures of all three versions are kept: their formats are still read and written
  * unchanged, and the current days show all of them.
  */
 const CURRENT_ARCHIVED_DAY = 'archived-present'
@@ -80,8 +81,8 @@
 
 /**
  * The formats in which the day "archived" differs from e499f66, with the lost and new features of each. These formats
- * depend on which requests occur on a day. No feature is lost. The new ones were valid on e499f66 too: optional fields of
- * a submission that are null.
+ * depend on which requests occur on a day. No feature is lost. Most new ones were valid on e499f66 too: optional fields of
+ * a submission that are null. `moved` is a new field of the records of jobs, which e499f66 ignores.
  */
 const CHANGED_FORMATS: Record<string, { lost: string[]; found: string[] }> = {
 	'controller answer POST /checkin': { lost: [], found: [] },
@@ -97,7 +98,7 @@
 	'state key heathroad-past/<n>/<end>': { lost: [], found: [] },
 	'state key heathroad/done/<job>/<n>': { lost: [], found: [] },
 	'state key heathroad/intake/<name>': { lost: [], found: [] },
-	'state key heathroad/job/<job>': { lost: [], found: [] },
+	'state key heathroad/job/<job>': { lost: [], found: ['.moved: boolean'] },
 	'state key heathroad/over/<n>/<n>': { lost: [], found: [] },
 	'state request POST /txn': { lost: [], found: [] },
 	'worker answer /commands': { lost: [], found: [] },
--- a/tests/terminal-state-model.test.ts
+++ b/tests/terminal-state-model.test.ts
@@ -102,6 +102,10 @@
 	| 'page condition'
 	| 'page condition of moves'
 	| 'epoch condition'
+	/** the own key of a job that has moved is deleted in the epoch of its terminal state */
+	| 'mark of moved jobs'
+	/** a state is moved to a page although the page has received it since the own keys were read */
+	| 'check of the page before a move'
 
 interface State {
 	revision: number
@@ -266,8 +270,12 @@
 	return ifOwned(known, shardId, shardId, recordTerminalJobs(known.cache, writes, PAGE_LIMITS).content)
 }
 
-const deletionOf = (known: KnownRecords, prefix: string): TransactionContent | null => {
+const deletionOf = (known: KnownRecords, prefix: string, fault: Fault): TransactionContent | null => {
 	const obsolete = [...known.registry.obsoleteEntries()].filter(([key]) => key.startsWith(prefix))
+	const ownEntry = known.cache.get(jobKey(JOB))
+	const isDeletedTooEarly =
+		fault === 'mark of moved jobs' && ownEntry !== undefined && known.registry.isOnTerminalPage(JOB)
+	if (isDeletedTooEarly && obsolete.length === 0 && prefix === 'job/') obsolete.push([jobKey(JOB), ownEntry])
 	if (obsolete.length === 0) return null
 	return {
 		conditions: obsolete.map(([key, { modRevision }]) => ({ key: KEY_PREFIX + key, modRevision })),
@@ -293,11 +301,12 @@
 }
 
 /** Moves the state that a migration pass has read under the own key of JOB to a page. */
-const migrationWrite = (state: State, known: KnownRecords): TransactionContent | null => {
+const migrationWrite = (state: State, known: KnownRecords, fault: Fault): TransactionContent | null => {
 	const record = decodeJobRecord(state.ownKeyRead?.data)
 	if (state.ownKeyRead === null || record?.finalState === undefined) return null
 	// Passes begin once the second format is in use.
 	if (known.cache.get(HISTORY_KEY) === undefined) return null
+	if (fault !== 'check of the page before a move' && known.registry.isOnTerminalPage(JOB)) return null
 	const states = [{ job: terminalJob(JOB, record.finalState), modRevision: state.ownKeyRead.modRevision }]
 	return migrateTerminalRecords(known.cache, record.shardId, states, PAGE_LIMITS).content
 }
@@ -322,7 +331,7 @@
 		case 'cancelled by another':
 			return cancelWrite(known, fault)
 		case 'read and moved to a page':
-			return migrationWrite(state, known)
+			return migrationWrite(state, known, fault)
 		case 'moved to shard 1':
 			return moveWrite(known, 0, 1, fault)
 		case 'moved back to shard 0':
@@ -340,9 +349,9 @@
 		case 'epoch':
 			return advanceArchivalEpoch(known.cache, { format: 2, archivalEpoch: 2, legacy: false })
 		case 'own key deleted':
-			return deletionOf(known, 'job/')
+			return deletionOf(known, 'job/', fault)
 		case 'batch deleted':
-			return deletionOf(known, 'intake/')
+			return deletionOf(known, 'intake/', fault)
 		case 'page closed in shard 0':
 			return pageClosingWrite(known, 0)
 		case 'page closed in shard 1':
@@ -483,6 +492,7 @@
 /** What may happen to the job and its records between the two terminal writes of a pair. */
 const BETWEEN: Record<string, Budget> = {
 	'a move': { 'moved to shard 1': 1 },
+	'a move and the deletion of its own key': { 'moved to shard 1': 1, 'own key deleted': 1 },
 	'a move and a takeover': { 'moved to shard 1': 1, 'takeover of shard 0': 1 },
 	'a move and progress': { 'moved to shard 1': 1, 'progress in shard 1': 1 },
 	'a move and back': { 'moved to shard 1': 1, 'moved back to shard 0': 1 },
@@ -507,9 +517,10 @@
 	without: ['intake/a-1'],
 }
 const FIRST_FORMAT: Start = { without: [HISTORY_KEY] }
+const LEGACY: Start = { records: { [HISTORY_KEY]: { ...FIRST_EPOCH, legacy: true } } }
 /** JOB has moved to shard 1, and its accepted batch is deleted. */
 const MOVED: Start = {
-	records: { [jobKey(JOB)]: encodeJobRecord(acceptedJob(JOB, 1)) },
+	records: { [jobKey(JOB)]: encodeJobRecord({ ...acceptedJob(JOB, 1), moved: true }) },
 	without: ['intake/a-1'],
 }
 /** Two controllers accepted JOB, for different shards; the acceptance for shard 0 is the earlier one. */
@@ -527,20 +538,49 @@
 	name: 'a move, an outcome and two cancellations',
 	budget: { 'moved to shard 1': 1, 'done in shard 1': 1, 'cancelled by another': 2 },
 }
+const CLEANED_UP: Case = {
+	name: 'a move, an outcome, a late cancellation, cleanup and an archival epoch',
+	budget: {
+		'moved to shard 1': 1,
+		'done in shard 1': 1,
+		'cancelled by another': 1,
+		'own key deleted': 1,
+		epoch: 1,
+	},
+}
 const LATE_OUTCOME: Case = {
 	name: 'outcomes of both shards and a move whose answer is lost',
 	budget: { 'moved to shard 1': 1, 'done in shard 0': 1, 'done in shard 1': 1 },
 }
+const CANCELLED_AND_MIGRATED: Case = {
+	name: 'a cancellation and a migration pass that reads its own key',
+	budget: { 'cancelled by another': 1, 'read and moved to a page': 1, progress: 1 },
+	start: LEGACY,
+}
+
+const CANCELLED_BY_OWNER: Case = {
+	name: 'two cancellations, a late move and the deletion of the own key',
+	budget: {
+		'moved to shard 1': 1,
+		'cancelled by another': 1,
+		'cancelled by the owner': 1,
+		'own key deleted': 1,
+	},
+}
 
 const CASES: readonly Case[] = [
 	CANCELLED_WHILE_MOVING,
+	CLEANED_UP,
 	LATE_OUTCOME,
+	CANCELLED_AND_MIGRATED,
+	CANCELLED_BY_OWNER,
 	{
 		name: 'archiving of a moved job, with a late cancellation',
 		budget: {
 			'done in shard 1': 1,
 			'cancelled by another': 1,
 			'page closed in shard 1': 1,
+			'own key deleted': 1,
 			epoch: 1,
 			'pages of shard 1 archived': 1,
 		},
@@ -568,6 +608,7 @@
 			'record format': 1,
 			'done in shard 0': 2,
 			'cancelled by another': 2,
+			'read and moved to a page': 1,
 		},
 		start: FIRST_FORMAT,
 	},
@@ -595,6 +636,14 @@
 	{ fault: 'shard of an earlier read', scenario: CANCELLED_WHILE_MOVING, found: /done.* and aborted/ },
 	{ fault: 'own-key condition of outcomes', scenario: LATE_OUTCOME, found: /done.* and done/ },
 	{ fault: 'page condition', scenario: CANCELLED_WHILE_MOVING, found: /done.* then aborted/ },
+	{ fault: 'page condition of moves', scenario: CANCELLED_BY_OWNER, found: /aborted.* and aborted/ },
+	{ fault: 'epoch condition', scenario: CLEANED_UP, found: /done.* and aborted/ },
+	{ fault: 'mark of moved jobs', scenario: CLEANED_UP, found: /done.* and aborted/ },
+	{
+		fault: 'check of the page before a move',
+		scenario: CANCELLED_AND_MIGRATED,
+		found: /aborted.* and aborted/,
+	},
 ]
 
 for (const { fault, scenario, found } of FAULTS)
--- a/tests/terminal-state-races.test.ts
+++ b/tests/terminal-state-races.test.ts
@@ -20,6 +20,8 @@
 /** The steps of a race follow each other at this interval: longer than a watch takes to deliver a change. */
 const STEP_MS = 500
 const TOO_MANY_REQUESTS: FakeResponse = { status: 429, body: {} }
+/** Within this time after an outcome the own key of an obsolete record is deleted, if it is to be deleted at all. */
+const CLEANUP_MS = 30_000
 const UNTIL_S = 90
 
 /** One order of the writes. */
@@ -27,7 +29,7 @@
 	/** when the cancellation is built: before the move, or, at its second turn in the write queue, with knowledge of the move */
 	built: 'before the move' | 'after the move'
 	/** when the cancellation is applied */
-	applied: 'before the outcome' | 'after the outcome'
+	applied: 'before the outcome' | 'after the outcome' | 'after the outcome and the cleanup'
 	/** whether the controller receives the answer to the cancellation */
 	isAnswered: boolean
 }
@@ -98,6 +100,8 @@
 		if (this.order.applied === 'before the outcome') this.applyCancellation()
 		outcome.serve()
 		if (this.order.applied === 'after the outcome') this.applyCancellation()
+		if (this.order.applied === 'after the outcome and the cleanup')
+			this.simulation.clock.after(CLEANUP_MS, () => this.applyCancellation())
 	}
 
 	private applyCancellation(): void {
@@ -174,14 +178,15 @@
 const ORDERS: { order: Order; expected: TerminalState }[] = (
 	['before the move', 'after the move'] as const
 ).flatMap((built) =>
-	(['before the outcome', 'after the outcome'] as const).flatMap((applied) =>
-		[true, false].map((isAnswered) => ({
-			order: { built, applied, isAnswered },
-			expected:
-				built === 'after the move' && applied === 'before the outcome'
-					? ('aborted' as const)
-					: ('done' as const),
-		})),
+	(['before the outcome', 'after the outcome', 'after the outcome and the cleanup'] as const).flatMap(
+		(applied) =>
+			[true, false].map((isAnswered) => ({
+				order: { built, applied, isAnswered },
+				expected:
+					built === 'after the move' && applied === 'before the outcome'
+						? ('aborted' as const)
+						: ('done' as const),
+			})),
 	),
 )
 
