A migration pass no longer records a cancelled job a second time

What was stored: a job cancelled while the first format's states are moved to pages could be on its page twice; the archive would then refuse the two entries if their counts of done tasks differ.

Cause: the pass lists the own keys, and takes a terminal one for a state of the first format unless the job is on a page that this controller knows. A cancellation in the second format writes the own key too. If the pass reads the key before its controller has received the cancellation, and writes the page after that, all conditions hold: the page is current and the key unchanged.

Change: the pass looks at the pages again when its write is built, from the records on which the write is conditional; the next pass skips the job.

--- a/packages/server/src/record-migration.ts
+++ b/packages/server/src/record-migration.ts
@@ -132,6 +132,8 @@
 				if (this.writer.stopped || !this.writer.owns(shardId)) return
 				let movedCount = 0
 				const result = yield* this.writer.write(() => {
+					// A page may have received a cancellation since the own keys were read; the next pass skips it.
+					if (group.some(({ job }) => this.context.jobs.isOnTerminalPage(job.uid))) return null
 					const migrated = migrateTerminalRecords(cache, shardId, group, pageLimits)
 					movedCount = migrated.taken
 					return migrated.content
--- a/tests/terminal-state-races.test.ts
+++ b/tests/terminal-state-races.test.ts
@@ -5,7 +5,13 @@
  */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { decodeTerminalPage, moveJobToShard, shardKey, terminalPageKey } from '@heathroad/cluster'
+import {
+	decodeTerminalPage,
+	encodeAcceptedBatch,
+	moveJobToShard,
+	shardKey,
+	terminalPageKey,
+} from '@heathroad/cluster'
 import type { Service } from '@heathroad/server'
 import { KEY_PREFIX } from '@heathroad/store'
 import { arrayJob, type FakeResponse, Simulation } from '@heathroad/testkit'
@@ -205,3 +211,59 @@
 		assert.deepEqual(race.simulation.invariants.violations, [])
 	})
 }
+
+/** Index of the controller that owns the shard of the jobs below, and runs the migration pass. */
+const OWNER = 0
+const CANCELLER = 1
+/** A job that finished in the first record format: the migration pass has something to move. */
+const FINISHED_JOB = 'job-000021'
+const FINISHED_RECORD = {
+	part: OWNER,
+	final: 'done',
+	tasks: 4,
+	need: { team: 'core', cpus: 1, gpus: 0, ramGb: 1 },
+}
+
+/**
+ * The migration pass takes the own key of a cancelled job for a state of the first format, if the controller has not
+ * received the cancellation when it reads the own keys; when it writes the page, it has.
+ */
+test('a cancelled job is on one page only: cancelled before a migration pass reads its own key', async () => {
+	const simulation = new Simulation({ seed: 5, untilS: UNTIL_S, jobs: [], faults: [] })
+	const { state } = simulation
+	state.put(`${KEY_PREFIX}history`, { form: 2, turn: 1, legacy: true })
+	state.put(`${KEY_PREFIX}job/${FINISHED_JOB}`, FINISHED_RECORD)
+	const accepted = { shardId: OWNER, spec: arrayJob(JOB, { tasks: 1 }), acceptedAtMs: 0 }
+	state.put(`${KEY_PREFIX}intake/a-1`, encodeAcceptedBatch([accepted]))
+	simulation.cloud.down = true
+	let cancelAnswer: number | null = null
+	let isWatchHeld = false
+	const heldWatches: (() => void)[] = []
+	const cancelBeforeRead = async (read: HeldRequest) => {
+		isWatchHeld = true
+		const answer = await simulation.sendRequest(CANCELLER, 'POST', `/v2/runs/${JOB}/withdraw`, {})
+		cancelAnswer = answer?.status ?? 0
+		read.serve((response) => {
+			read.reply(response)
+			simulation.clock.after(STEP_MS / 2, () => {
+				isWatchHeld = false
+				for (const deliver of heldWatches) deliver()
+			})
+		})
+	}
+	const handle = holdRequests(state, (request) => {
+		const isPass = request.path.startsWith(`/store?under=${KEY_PREFIX}job/&`) && request.client === OWNER
+		if (isPass && cancelAnswer === null && !isWatchHeld) void cancelBeforeRead(request)
+		else if (request.path.startsWith('/watch') && request.client === OWNER)
+			request.serve((response) => {
+				if (isWatchHeld) heldWatches.push(() => request.reply(response))
+				else request.reply(response)
+			})
+		else request.serve()
+	})
+	await simulation.run()
+	assert.equal(cancelAnswer, 200)
+	const page = decodeTerminalPage(new OtherController(handle, OWNER).get(terminalPageKey(OWNER))?.data)
+	const uids = (page?.batches ?? []).flatMap(({ jobs }) => jobs.map(({ uid }) => uid))
+	assert.deepEqual(uids.sort(), [JOB, FINISHED_JOB])
+})
