Of two recorded terminal states, every controller takes the first

What callers saw: a job for which an earlier version had recorded two terminal states was told one way or the other, depending on the node asked, and on the page that changed last before that node's start.

Cause: the job registry kept the state that it happened to read first.

Change: the state with the lower revision counts, in whatever order the pages are read.

Test: "of two terminal states that an earlier version recorded, the first counts at every controller"; fails before.

--- a/packages/cluster/src/job-registry.ts
+++ b/packages/cluster/src/job-registry.ts
@@ -172,14 +172,17 @@
 		return newlyTerminal
 	}
 
-	/** Returns the job's record if it was not terminal before; else null. */
+	/**
+	 * Returns the job's record if it was not terminal before; else null. Versions before incident 37 could write two terminal
+	 * states of one job; the earlier one counts, in whatever order the pages are read.
+	 */
 	private putOnPage(
 		job: TerminalJob,
 		{ shardId, revision, key }: { shardId: number; revision: number; key: string },
 	): JobRecord | null {
 		const onPage = this.terminalJobs.get(job.uid)
-		if (onPage !== undefined) {
-			onPage.key = key
+		if (onPage !== undefined && onPage.revision <= revision) {
+			if (onPage.revision === revision) onPage.key = key
 			return null
 		}
 		const wasTerminal = this.terminalRecord(job.uid) !== undefined
--- a/tests/terminal-state-model.test.ts
+++ b/tests/terminal-state-model.test.ts
@@ -16,6 +16,7 @@
 	deletePages,
 	encodeAcceptedBatch,
 	encodeJobRecord,
+	encodeTerminalPage,
 	HISTORY_KEY,
 	jobKey,
 	type KnownJob,
@@ -651,3 +652,28 @@
 		const { violation } = exploreCase(fault, scenario.budget, scenario.start)
 		assert.match(violation?.what ?? 'none', found)
 	})
+
+/** A page of a shard that holds the state of JOB, which became durable at `revision`, and a later state. */
+const pageWith = (shardId: 0 | 1, finalState: 'done' | 'aborted', revision: number) =>
+	encodeTerminalPage({
+		shardId,
+		batches: [
+			{ revision, jobs: [terminalJob(JOB, finalState)] },
+			{ revision: null, jobs: [terminalJob(OTHER_JOBS[shardId], 'done')] },
+		],
+	})
+
+test('of two terminal states that an earlier version recorded, the first counts at every controller', () => {
+	const cases: { name: string; pages: [earlier: number, later: number] }[] = [
+		{ name: 'the page of the earlier state changed first', pages: [20, 21] },
+		{ name: 'the page of the earlier state changed last', pages: [21, 20] },
+	]
+	for (const { name, pages } of cases) {
+		const records: Records = {
+			[terminalPageKey(0)]: { data: pageWith(0, 'aborted', 10), modRevision: pages[0] },
+			[terminalPageKey(1)]: { data: pageWith(1, 'done', 12), modRevision: pages[1] },
+		}
+		const known = knownRecords({ revision: 21, records }).registry.terminalRecord(JOB)
+		assert.deepEqual([known?.record.finalState, known?.revision], ['aborted', 10], name)
+	}
+})
