A late answer to a kill command no longer blocks a task of a machine that left

What callers would see: a task that never starts again, so that its job is never done, though machines have room.

Cause: a cancellation sends kill commands directly. The answer is a report with the machine's other tasks. If the machine left the shard before the answer arrived, the report was applied to the removed machine: a ready task that it listed counted as placed there, and no lease expiry or report would ever remove the attempt.

Change: `HeartbeatReconciler.reconcile` ignores reports of machines that are not in the shard, and those that arrive after the shard was stopped. Direct commands have a type without `start`: a copy of such a request that arrives after `forget` would start the task again, so that starts must go only into responses.

Test: "the answer to a kill command is ignored once its machine has left the shard"; fails before (nothing is started).

--- a/packages/controller/src/heartbeat-reconciler.ts
+++ b/packages/controller/src/heartbeat-reconciler.ts
@@ -16,7 +16,11 @@
 	followsResponse: boolean
 }
 
-/** Applies heartbeats to the shard's state. Ignores heartbeats that are not newer than the latest one. */
+/**
+ * Applies heartbeats to the shard's state. Ignores heartbeats that are not newer than the latest one, and those of machines
+ * that have left the shard: the answer to a direct command may arrive after its machine was released, and an attempt on such
+ * a machine would never be removed, so that its task would never start again.
+ */
 export class HeartbeatReconciler {
 	constructor(
 		private readonly state: ShardState,
@@ -27,6 +31,7 @@
 
 	/** Applies a heartbeat to its machine and the attempts on it. */
 	reconcile(machine: Machine, heartbeat: Heartbeat, origin: HeartbeatOrigin): void {
+		if (this.state.stopped || this.state.machines.get(machine.id) !== machine) return
 		if (!isNewerHeartbeat(heartbeat, machine)) return
 		machine.agentEpoch = heartbeat.agentEpoch
 		machine.heartbeatSequence = heartbeat.sequence
--- a/packages/controller/src/job-lifecycle.ts
+++ b/packages/controller/src/job-lifecycle.ts
@@ -1,7 +1,7 @@
 /** Life cycle of a shard's jobs: intake, terminal states, cancellation and migration to other shards. */
 import { type JobRecord, progressChunkKey, TASKS_PER_CHUNK } from '@heathroad/cluster'
 import { RangeSet } from '@heathroad/policy'
-import { type Command, type Heartbeat, type JobSpec, MAX_COMMANDS_PER_RESPONSE } from '@heathroad/wire'
+import { type DirectCommand, type Heartbeat, type JobSpec, MAX_COMMANDS_PER_RESPONSE } from '@heathroad/wire'
 import type { AdmissionGate } from './admission-gate.js'
 import { createBudgetLedger } from './job-budget.js'
 import { JobRun, type Machine } from './model.js'
@@ -132,7 +132,7 @@
 
 	/** Sends kill commands to the machines directly instead of waiting for their next heartbeats. */
 	private killRunningTasks(job: JobRun): void {
-		const commandsByMachine = new Map<Machine, Command[]>()
+		const commandsByMachine = new Map<Machine, DirectCommand[]>()
 		for (const { machine, taskName, attempt } of job.placements.values()) {
 			const commands = commandsByMachine.get(machine) ?? []
 			commands.push({ verb: 'kill', taskName, attempt, gracePeriodS: 0 })
--- a/packages/controller/src/shard-dependencies.ts
+++ b/packages/controller/src/shard-dependencies.ts
@@ -3,7 +3,7 @@
 import type { JobRecord, LeadershipStatus } from '@heathroad/cluster'
 import type { Log } from '@heathroad/logging'
 import type { CacheEntry, QueuedWrite } from '@heathroad/store'
-import type { Command, Heartbeat, JobSpec, MachineType, WireInteger } from '@heathroad/wire'
+import type { DirectCommand, Heartbeat, JobSpec, MachineType, WireInteger } from '@heathroad/wire'
 import type { AdmissionChecks } from './admission-checks.js'
 import type { OfferAvailability } from './offer-availability.js'
 
@@ -65,12 +65,12 @@
 
 /** Commands sent directly to machines, outside heartbeat responses. */
 export interface MachineAccess {
-	/** `done` receives the HTTP status and the heartbeat in the machine's response; null without a response */
+	/** Never sends starts, see `DirectCommand`. `done` receives the HTTP status and the heartbeat in the machine's response; null without a response */
 	sendCommands(
 		address: string,
 		fencingToken: number,
 		agentEpoch: WireInteger,
-		commands: Command[],
+		commands: DirectCommand[],
 		done: (status: number, heartbeat: Heartbeat | null) => void,
 	): void
 }
--- a/packages/wire/src/commands.ts
+++ b/packages/wire/src/commands.ts
@@ -14,6 +14,13 @@
 	| { verb: 'kill'; taskName: string; attempt: WireInteger; gracePeriodS: number }
 	| { verb: 'forget'; taskName: string; attempt: WireInteger }
 
+/**
+ * A command that may be sent in a request of the controller. A start may not: a copy of the request that arrives once the
+ * agent has forgotten the attempt would start it again (protocol). A response has no late copies: the agent reads one
+ * response to each heartbeat, within 4 s, and has one heartbeat in flight.
+ */
+export type DirectCommand = Exclude<Command, { verb: 'start' }>
+
 const encodeCommand = (command: Command): Record<string, unknown> => {
 	const attempt = toWireInteger(command.attempt)
 	if (command.verb !== 'kill') return { verb: command.verb, piece: command.taskName, try: attempt }
--- a/tests/shard.test.ts
+++ b/tests/shard.test.ts
@@ -107,6 +107,12 @@
 				storedMachineGroup([...machineIds, id]),
 				storedMachineGroup(machineIds),
 			),
+		removeMachine: (id: string) =>
+			shard.onMachineGroupChanged(
+				'r',
+				storedMachineGroup(machineIds.filter((other) => other !== id)),
+				storedMachineGroup(machineIds),
+			),
 		advance: (ms: number) => {
 			for (const until = nowMs + ms; nowMs < until; ) {
 				nowMs += TICK_MS
@@ -197,6 +203,31 @@
 	}
 })
 
+/**
+ * The answer to a direct kill command lists the machine's other tasks. Applied after the machine had left the shard, it
+ * made the shard count on attempts that nothing would ever remove: the tasks never started again.
+ */
+test('the answer to a kill command is ignored once its machine has left the shard', () => {
+	const scenario = createScenario(['i-1', 'i-2'])
+	scenario.accept('job-000009', 1)
+	scenario.accept('job-000001', 1)
+	const tasks = [reportedTask('job-000009/0', 'running'), reportedTask('job-000001/0', 'running')]
+	scenario.heartbeat('i-1', tasks)
+	scenario.heartbeat('i-2')
+	assert.equal(scenario.shard.isReconciled, true)
+	scenario.shard.applyCancellation('job-000009')
+	const kill = scenario.sentCommands.at(-1)
+	assert.deepEqual(
+		kill?.commands.map(({ verb }) => verb),
+		['kill'],
+	)
+	const answer = scenario.makeHeartbeat('i-1', tasks.slice(1))
+	scenario.removeMachine('i-1')
+	kill?.answer(200, answer)
+	scenario.advance(500)
+	assert.deepEqual(startedTasks(scenario.heartbeat('i-2')), ['job-000001/0'])
+})
+
 test('a machine forgets an outcome only once it is durable', () => {
 	const scenario = createScenario(['i-1'])
 	scenario.accept('job-000001', 2)
