Tests for late copies of commands, responses and reports

A service like this one ran a task on two machines, and a cancelled task again, after a late copy of a start command that had been carried out. Can it happen here? A start reaches a machine in the response to a heartbeat only, at once or delayed for a first heartbeat; kills also go out directly, as do probes without commands. Attempt numbers contain the fencing token and are never used again, so that a copied kill cannot hit a later attempt; an agent reads one response to each heartbeat, within 4 s.

--- a/packages/testkit/src/controller-http-client.ts
+++ b/packages/testkit/src/controller-http-client.ts
@@ -141,6 +141,7 @@
 		reply,
 		otherEnd: machines.workers.get(machine)?.zone ?? null,
 	})
+	machines.duplicateCall(machine, path, body)
 }
 
 const sendToPeer = (dependencies: ControllerHttpClientDependencies, request: OutgoingRequest): void => {
--- a/packages/testkit/src/fault-injection.ts
+++ b/packages/testkit/src/fault-injection.ts
@@ -111,6 +111,8 @@
 	lostTransactionResponses: beginMessageFault('lostTransactionResponses'),
 	duplicatedHeartbeats: beginMessageFault('duplicatedHeartbeats'),
 	heldHeartbeats: beginMessageFault('heldHeartbeats'),
+	duplicatedCommands: beginMessageFault('duplicatedCommands'),
+	duplicatedResponses: beginMessageFault('duplicatedResponses'),
 	delayedWorkerMessages: beginMessageFault('delayedWorkerMessages'),
 } satisfies Partial<Record<FaultKind, FaultHandler>>
 
--- a/packages/testkit/src/simulated-day.ts
+++ b/packages/testkit/src/simulated-day.ts
@@ -15,6 +15,8 @@
 	| 'duplicatedHeartbeats'
 	| 'lostTransactionResponses'
 	| 'heldHeartbeats'
+	| 'duplicatedCommands'
+	| 'duplicatedResponses'
 	| 'machineInboundLoss'
 	| 'machineOutboundLoss'
 	| 'machinesHang'
--- a/packages/testkit/src/simulated-machines.ts
+++ b/packages/testkit/src/simulated-machines.ts
@@ -14,6 +14,10 @@
 const FETCH_MS_PER_GB = 1000
 /** Tasks of jobs of this class fail on every machine. */
 export const BROKEN_CLASS = 'broken'
+/** Delay of a second copy of a direct command: at least `minMs`, and up to 2.5 agent leases. */
+const DUPLICATE_COMMAND_DELAY = { minMs: 200, maxMsPerLeaseS: 2500 }
+/** Delay of a second copy of a response, in ms: beyond the time within which agents accept it. */
+const DUPLICATE_RESPONSE_DELAY_MS = { min: 200, max: 6000 }
 /** Delay of a duplicated heartbeat: at least `minMs`, and up to 2.5 agent leases (`maxMsPerLeaseS` ms per second). */
 const DUPLICATE_HEARTBEAT_DELAY = { minMs: 2000, maxMsPerLeaseS: 2500 }
 /** Held heartbeats reach the controllers within this time after a takeover, in ms. */
@@ -129,6 +133,15 @@
 		}
 	}
 
+	/** Delivers a copy of a direct request late, if the fault occurs; nobody receives the answer to the copy. */
+	duplicateCall(machine: string, path: string, body: unknown): void {
+		const { clock, faults, times } = this.dependencies
+		if (!faults.happens('duplicatedCommands')) return
+		const { minMs, maxMsPerLeaseS } = DUPLICATE_COMMAND_DELAY
+		const delayMs = clock.between(minMs, times.leaseS * maxMsPerLeaseS)
+		clock.after(delayMs, () => void this.call(machine, path, body), null)
+	}
+
 	private sendHeartbeat(heartbeat: {
 		machine: string
 		zone: string
@@ -148,7 +161,11 @@
 			isAlive: this.dependencies.aliveCheck(controller),
 			serve,
 			reply: (response) => {
-				if (!this.inboundPartitioned.has(machine)) heartbeat.reply(response)
+				if (this.inboundPartitioned.has(machine)) return
+				heartbeat.reply(response)
+				if (!faults.happens('duplicatedResponses')) return
+				const { min, max } = DUPLICATE_RESPONSE_DELAY_MS
+				clock.after(clock.between(min, max), () => heartbeat.reply(response), null)
 			},
 			otherEnd: zone,
 		})
--- a/packages/testkit/src/simulated-network.ts
+++ b/packages/testkit/src/simulated-network.ts
@@ -15,6 +15,8 @@
 	| 'lostTransactionResponses'
 	| 'duplicatedHeartbeats'
 	| 'heldHeartbeats'
+	| 'duplicatedCommands'
+	| 'duplicatedResponses'
 	| 'delayedWorkerMessages'
 
 /** A request over the network and the handling of its response. */
