--- a/packages/controller/src/machine-group-writer.ts
+++ b/packages/controller/src/machine-group-writer.ts
@@ -167,7 +167,6 @@
 		if (this.state.stopped || changes.write !== null) return
 		if (this.planChange(groupName).kind === 'none') this.changesByGroup.delete(groupName)
 		else if (changes.rentedMachineIds !== null) this.flush(groupName, WritePriority.rental)
-		else if (changes.addresses.size > 0) this.flush(groupName, WritePriority.outcome)
 		else this.flush(groupName, WritePriority.outcome)
 	}
 }
