Two recorded terminal states of one job no longer stop the archive

Cause: the archive refuses two states of one job, and the move of the shard's pages starts again with the same pair.

Change: the registry remembers the page of a state that has no effect, since an earlier one counts. Such a state is not archived; the earlier one stays on its page until the other page is gone, or a controller that starts in between would know only the later state.

--- a/packages/cluster/src/job-registry.ts
+++ b/packages/cluster/src/job-registry.ts
@@ -49,6 +49,11 @@
 export class JobRegistry {
 	private readonly accepted = new Map<string, AcceptedJobRecord>()
 	private readonly terminalJobs = new Map<string, JobOnPage>()
+	/**
+	 * Job -> key of the page that holds a second, later terminal state of it. Versions before incident 37 could write one; it
+	 * has no effect.
+	 */
+	private readonly ineffectiveStates = new Map<string, string>()
 	/**
 	 * Job -> revision of its cancellation, as reported by peers and not yet shown by the watch cache. An older read must
 	 * not reopen the job.
@@ -168,23 +173,31 @@
 			if (record !== null) newlyTerminal.push({ uid: job.uid, record, revision })
 		}
 		for (const { jobs } of decodeTerminalPage(previous?.data)?.batches ?? [])
-			for (const { uid } of jobs) if (!uidsOnPage.has(uid)) this.removedFromPages.push({ uid, key })
+			for (const { uid } of jobs) if (!uidsOnPage.has(uid)) this.onRemovedFromPage(uid, key)
 		return newlyTerminal
 	}
 
+	private onRemovedFromPage(uid: string, key: string): void {
+		this.removedFromPages.push({ uid, key })
+		if (this.ineffectiveStates.get(uid) === key) this.ineffectiveStates.delete(uid)
+	}
+
 	/**
-	 * Returns the job's record if it was not terminal before; else null. Versions before incident 37 could write two terminal
-	 * states of one job; the earlier one counts, in whatever order the pages are read.
+	 * Returns the job's record if it was not terminal before; else null. Of two terminal states the earlier one counts, in
+	 * whatever order the pages are read.
 	 */
 	private putOnPage(
 		job: TerminalJob,
 		{ shardId, revision, key }: { shardId: number; revision: number; key: string },
 	): JobRecord | null {
 		const onPage = this.terminalJobs.get(job.uid)
-		if (onPage !== undefined && onPage.revision <= revision) {
-			if (onPage.revision === revision) onPage.key = key
+		if (onPage?.revision === revision) {
+			onPage.key = key
 			return null
 		}
+		if (onPage !== undefined)
+			this.ineffectiveStates.set(job.uid, onPage.revision < revision ? key : onPage.key)
+		if (onPage !== undefined && onPage.revision < revision) return null
 		const wasTerminal = this.terminalRecord(job.uid) !== undefined
 		const record = terminalJobRecord(shardId, job)
 		this.terminalJobs.set(job.uid, { record, revision, key })
@@ -230,14 +243,21 @@
 		return uids
 	}
 
-	/** Terminal states of one page, each with the revision at which it became durable. */
+	/** Terminal states of one page that have an effect, each with the revision at which it became durable. */
 	*terminalJobsOnPage(key: string): Iterable<TerminalJob & { revision: number }> {
-		for (const { job, revision } of jobsOnPage(this.cache.get(key))) yield { ...job, revision }
+		for (const { job, revision } of jobsOnPage(this.cache.get(key))) {
+			const effective = this.terminalJobs.get(job.uid)
+			if (effective === undefined || effective.revision === revision) yield { ...job, revision }
+		}
 	}
 
-	/** Ids of jobs in records other than pages; these records would reopen the jobs if their terminal states were deleted. */
+	/**
+	 * Ids of jobs in other records, which would reopen the jobs, or give them another terminal state, if their terminal states
+	 * were deleted.
+	 */
 	referencedIds(): Set<string> {
 		const uids = this.uidsInBatches()
+		for (const uid of this.ineffectiveStates.keys()) uids.add(uid)
 		for (const [key] of this.cache.withPrefix(JOB_PREFIX)) uids.add(uidOfJobKey(key))
 		for (const [key] of this.cache.withPrefix(PROGRESS_PREFIX)) uids.add(uidOfProgressKey(key))
 		return uids
--- a/tests/archival.test.ts
+++ b/tests/archival.test.ts
@@ -5,6 +5,7 @@
 import {
 	appendToPage,
 	decodeTerminalPage,
+	encodeTerminalPage,
 	type TerminalJob,
 	toTerminalJob,
 	withRevisions,
@@ -187,6 +188,49 @@
 	assert.ok(simulation.state.countKeys('heathroad-past/') > 0)
 })
 
+/**
+ * Versions before incident 37 could record two terminal states of one job. The archive refuses such a pair, so that no page
+ * of the shard left memory any more.
+ */
+test('two terminal states of one job that an earlier version recorded do not stop the archive', async () => {
+	const TWICE = 'job-000001'
+	const simulation = new Simulation({ seed: 75, untilS: 240, jobs: [], faults: [] })
+	const errors: string[] = []
+	simulation.onLogLine = (line) => {
+		if (line.includes('archival failed')) errors.push(line)
+	}
+	const states = (shardId: number, finalState: 'done' | 'aborted') =>
+		[TWICE, ...Array.from({ length: 12 }, (_, index) => `job-${shardId + 1}000${10 + index}`)].map((uid) =>
+			toTerminalJob(
+				uid,
+				uid === TWICE ? finalState : 'done',
+				arrayJob(uid, { tasks: 4 }),
+				uid === TWICE ? 2 : 4,
+			),
+		)
+	simulation.state.put(`${KEY_PREFIX}history`, { form: 2, turn: 1, legacy: false })
+	for (const [shardId, finalState] of [
+		[0, 'aborted'],
+		[1, 'done'],
+	] as const) {
+		const page = { shardId, batches: [{ revision: shardId + 2, jobs: states(shardId, finalState) }] }
+		simulation.state.put(`${KEY_PREFIX}over/${shardId}/${shardId + 2}`, encodeTerminalPage(page))
+	}
+	const answers: unknown[] = []
+	const query = (controller: number) =>
+		void simulation
+			.sendRequest(controller, 'GET', `/v2/runs/${TWICE}`, undefined)
+			.then((reply) => answers.push((reply?.body as { status?: string })?.status))
+	for (const atS of [10, 235])
+		simulation.clock.after(atS * 1000, () => {
+			for (const controller of [0, 1, 2]) query(controller)
+		})
+	await simulation.run()
+	assert.deepEqual(errors, [])
+	assert.equal(simulation.state.countKeys(`${KEY_PREFIX}over/`), 0, 'all pages are archived')
+	assert.deepEqual(answers, Array(6).fill('aborted'))
+})
+
 test('records of a later format are rejected', async () => {
 	const simulation = new Simulation({ seed: 74, untilS: 20, jobs: [], faults: [] })
 	simulation.state.put(`${KEY_PREFIX}history`, { form: 3, turn: 1 })
